Take a call's usual time from three answers, not from the single quickest

Symptom: 46% refused from the first second, 33% to 40% of the calls to the counter unanswered in time, the module's log swinging between "held to be down" and "answers again" several times a second.

Evidence: the counter's byte streams over all four nodes show 220 to 250 calls a second, as many as it answers, with 4 to 10 always out; half of them lease ahead, which is meant to use spare calls only. The quickest ordinary answer took 5.8 to 7.5 ms. Two nodes had one answer in 0.13 and 0.26 ms, the very first, which took no turn. From it they put their fair part at about 1,000 to 1,900 calls a second, and the rate is never let under a quarter of that: the brake on calls could not act.

Ruled out: the links (each of the four had the same times, answers came in order); names lost (no count fell); server errors (1 to 10 in 5 s).

Faulty line: CounterPace::learn() took the minimum of all answers. The usual time is now that of the third quickest, and it may be longer than the first guess.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,8 +30,9 @@
 constexpr double kAheadPart = 1.25;      // of the customer's pace: some more, as arrivals are uneven
 constexpr double kAheadStep = 0.5;       // part of the quantum that must be missing before a call is made
 constexpr double kAheadPace = 0.4;       // requests a window here from which a customer counts as steady
-constexpr double kFirstCall = 0.05;  // part of the counter's time-out that a call takes, before one was seen
-constexpr double kSlowCall = 0.3;    // part of the counter's time-out past which an answer shows a line there
+constexpr double kFirstCall = 0.05;   // part of the counter's time-out that a call takes, before any was seen
+constexpr std::size_t kQuickest = 3;  // answers that must have been as quick for a time to count as the usual
+constexpr double kSlowCall = 0.3;  // part of the counter's time-out past which an answer shows a line there
 constexpr double kCallRise = 0.2;  // of the fair rate, added for each quick answer while calls are held back
 constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
@@ -40,8 +41,8 @@
 constexpr int kCounterStrikes = 3;     // failed calls in a row before the counter is held to be down
 constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
 constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
-constexpr double kOverCalls = 1.5;  // calls made for a customer over its quota, times those that can succeed
-constexpr double kUnitSlop = 1e-6;  // totals come rounded to seven digits
+constexpr double kOverCalls = 1.5;   // calls made for a customer over its quota, times those that can succeed
+constexpr double kUnitSlop = 1e-6;   // totals come rounded to seven digits
 constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
 constexpr double kLatencyGain = 0.07;       // EWMA gain per answer: about the last 14, as work varies a lot
 constexpr double kHealthGain = 0.2;         // EWMA gain of success per outcome: five failures show clearly
@@ -142,8 +143,9 @@
 // one that is down. It can hurt when single answers are slow without a line.
 struct CounterPace {
   Duration timeout{};
-  double fleet = 1, fastest = 0;  // seconds: the quickest answer so far
-  double rate = 0, saved = 0;     // calls a second; calls that may be made now
+  double fleet = 1, fastest = 0;   // seconds: what a call takes that finds no line
+  std::multiset<double> quickest;  // of the answers so far; one alone may not have waited its turn
+  double rate = 0, saved = 0;      // calls a second; calls that may be made now
   Time saved_at{}, cut_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
@@ -171,7 +173,9 @@
 
   void learn(Time now, CountOutcome o, Duration took) {
     const bool ok = o == CountOutcome::ok;
-    if (ok) fastest = std::clamp(seconds(took), 1e-5, fastest);
+    if (ok) quickest.insert(std::max(seconds(took), 1e-5));
+    if (quickest.size() > kQuickest) quickest.erase(std::prev(quickest.end()));
+    if (quickest.size() == kQuickest) fastest = *quickest.rbegin();
     if (ok && down()) rate = std::max(rate, fair());
     strikes = ok ? 0 : strikes + 1;
     if (strikes == kCounterStrikes) down_since = now;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -241,6 +241,34 @@
   }
 }
 
+TEST(Leases, OneAnswerOutOfTurnDoesNotSetThePaceOfCalls) {
+  Host h;
+  h.servers(4);
+  std::uint64_t customer = 0;
+  std::deque<std::pair<Time, AddToCount>> out;
+  int calls = 0;
+  const auto run = [&](Duration span) {
+    for (const Time end = h.now + span; h.now < end; h.now += 5ms) {
+      h.ask(++customer);
+      for (const auto& c : h.all<AddToCount>()) ++calls, out.emplace_back(h.now + 40ms, c);
+      while (!out.empty() && out.front().first <= h.now) {
+        const auto call = out.front().second;
+        out.pop_front();
+        h.give(CountAnswer{call.name, CountOutcome::ok, call.amount, 40ms});
+        for (const auto& c : h.all<AddToCount>()) ++calls, out.emplace_back(h.now + 40ms, c);
+      }
+    }
+  };
+  h.ask(++customer);
+  const auto first = h.all<AddToCount>().at(0);
+  h.give(CountAnswer{first.name, CountOutcome::ok, first.amount, 100us});
+  run(3s);  // every further answer shows a line at the counter
+  calls = 0;
+  run(2s);
+  EXPECT_GT(calls, 0);
+  EXPECT_LT(calls, 100);  // of 400 customers that come
+}
+
 // A fleet that shares one small counter, which takes calls in turn and gives each up after its time-out.
 struct Fleet {
   std::vector<Host> hosts;
