Take a new configuration on SIGHUP: discovery and the counter may move

The file is now read again. The watch goes on at the new address from the last revision that was read; new calls go to the new counter at once, while those that are out may still be answered on the old connections until their time-out. A file that can't be read changes nothing. A node that was ready stays ready while the new counter is first tried.

--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -79,7 +79,7 @@
 class Clients {
  public:
   struct Owner {
-    virtual bool ready() const = 0;
+    virtual bool ready() = 0;
     // The number given is the session's way to say later that its client has gone.
     virtual std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) = 0;
     virtual void client_gone(std::uint64_t request) = 0;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -39,6 +39,15 @@
   connect();
 }
 
+void Discovery::move(const Tcp::endpoint& at, std::string host) {
+  at_ = at;
+  host_ = std::move(host);
+  backoff_ = {};
+  timers_.cancel(silence_);
+  close_now(socket_);
+  connect();
+}
+
 // ---- Reading a list -------------------------------------------------------------------------------------
 
 // Ids hold 8 hex digits after a dash: they are the number, at every node. Another form is hashed; where two
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -37,6 +37,8 @@
 
   // Tells of the list as it was known before the start, and watches from there.
   void start(const nlohmann::json& known);
+  // The agent listens elsewhere from now on: the watch goes on there, from the last version that was read.
+  void move(const Tcp::endpoint& at, std::string host);
   std::uint64_t revision() const { return revision_; }
 
  private:
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -48,6 +48,20 @@
   return c;
 }
 
+// A new configuration that can't be read changes nothing.
+void reconfigure_on(asio::signal_set& signals, Node& node) {
+  signals.async_wait([&signals, &node](const error_code& failed, int) {
+    if (failed) return;
+    try {
+      node.reconfigure(read_config());
+      note("configuration read again");
+    } catch (const std::exception& x) {
+      note(std::string("the configuration stays as it was: ") + x.what());
+    }
+    reconfigure_on(signals, node);
+  });
+}
+
 // Nothing that goes wrong with one event ends the process.
 void serve(asio::io_context& io) {
   for (;;) {
@@ -71,6 +85,8 @@
     signals.async_wait([&](const error_code& failed, int) {
       if (!failed) node.drain([&io] { io.stop(); });
     });
+    asio::signal_set hang_ups(io, SIGHUP);
+    reconfigure_on(hang_ups, node);
     try {
       node.start();
     } catch (const boost::system::system_error& x) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,7 +19,8 @@
 }  // namespace
 
 Node::Node(asio::io_context& io, NodeConfig config)
-    : config_(std::move(config)),
+    : io_(io),
+      config_(std::move(config)),
       timers_(io, clock_),
       gateway_(config_.named.settings, config_.seed),
       upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive,
@@ -27,9 +28,12 @@
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
       clients_(io, timers_, config_.named.settings, for_clients(config_), *this) {
-  if (config_.counter && config_.named.settings.counter)
-    counter_.emplace(io, timers_, *config_.counter, config_.named.settings.counter_timeout,
-                     [this](const CountAnswer& a) { happened(a); });
+  if (config_.counter && config_.named.settings.counter) counter_ = new_counter();
+}
+
+std::unique_ptr<Counter> Node::new_counter() {
+  return std::make_unique<Counter>(io_, timers_, *config_.counter, config_.named.settings.counter_timeout,
+                                   [this](const CountAnswer& a) { happened(a); });
 }
 
 void Node::start() {
@@ -37,6 +41,18 @@
   clients_.listen(config_.listen);
 }
 
+void Node::reconfigure(const NodeConfig& config) {
+  if (config.discovery != config_.discovery) {
+    config_.discovery = config.discovery;
+    discovery_.move(config.discovery, config.discovery_host);
+  }
+  if (!counter_ || !config.counter || config.counter == config_.counter) return;
+  config_.counter = config.counter;
+  left_.push_back(std::exchange(counter_, new_counter()));
+  // Calls that are out at the old address are still answered there; after their time-out none is left.
+  timers_.after(config_.named.settings.counter_timeout, [this] { left_.pop_front(); });
+}
+
 void Node::drain(std::function<void()> done) {
   drained_ = std::move(done);
   clients_.drain();
@@ -48,7 +64,11 @@
   timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
 }
 
-bool Node::ready() const { return knows_servers_ && (!counter_ || counter_->tried()); }
+// Once ready, always ready: a counter that has moved is tried while requests come in.
+bool Node::ready() {
+  was_ready_ = was_ready_ || (knows_servers_ && (!counter_ || counter_->tried()));
+  return was_ready_;
+}
 
 // ---- What happens -----------------------------------------------------------------------------------------
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -36,6 +36,8 @@
   Node(asio::io_context& io, NodeConfig config);
 
   void start();
+  // Goes on with discovery and the counter where a new configuration says that they are. All else stays.
+  void reconfigure(const NodeConfig& config);
   // Takes no new sessions for long and calls `done` when nothing is open any more.
   void drain(std::function<void()> done);
   Tcp::endpoint listens_at() const { return clients_.listens_at(); }
@@ -48,7 +50,7 @@
     std::uint32_t attempts = 0, out = 0;
   };
 
-  bool ready() const override;
+  bool ready() override;
   std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) override;
   void client_gone(std::uint64_t request) override;
   bool still_wanted(RequestId request) const override;
@@ -69,7 +71,9 @@
   void finish(RequestId request, const Answer& answer);
   void forget_if_done(RequestId request);
   void wait_until_drained();
+  std::unique_ptr<Counter> new_counter();
 
+  asio::io_context& io_;
   NodeConfig config_;
   Clock clock_;
   Timers timers_;
@@ -81,7 +85,9 @@
   bool knows_servers_ = false;
   std::function<void()> drained_;
   Upstream upstream_;
-  std::optional<Counter> counter_;
+  std::unique_ptr<Counter> counter_;
+  std::deque<std::unique_ptr<Counter>> left_;  // at former addresses, until their last calls are answered
+  bool was_ready_ = false;
   Discovery discovery_;
   Clients clients_;
 };
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -102,6 +102,10 @@
     acceptor_.close(ignored);
     for (const auto& w : wires) w->came = {}, w->reset();
   }
+  void close() {  // takes nothing new; what is open stays
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
   Tcp::endpoint at() const { return at_; }
   std::string text() const { return "127.0.0.1:" + std::to_string(at_.port()); }
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -142,6 +142,40 @@
   EXPECT_TRUE(served(w));
   EXPECT_EQ(exit_status(), 0);
 }
+// Discovery and the counter have moved, and the old addresses take nothing new: the program goes on there.
+TEST_F(ProcessTest, HangUpMovesDiscoveryAndTheCounter) {
+  run();
+  ASSERT_TRUE(up());
+  ASSERT_TRUE(loop.until([&] { return !agent.wires.empty(); }));
+  int calls = 0;
+  Peer counter_now(loop.io, [&](Wire& w) {
+    for (auto l = w.line(); !l.empty(); l = w.line()) ++calls, w.send(l == "ping" ? "pong\r\n" : "ok 1\r\n");
+  });
+  Peer agent_now(loop.io);
+  config["discovery"] = agent_now.text(), config["counter"] = counter_now.text();
+  std::ofstream(dir / "config.json") << config;
+  agent.close(), counter.close();
+  kill(child, SIGHUP);
+  const auto asked = [&] { return agent_now.wires.empty() ? "" : agent_now.wires.front()->message(); };
+  EXPECT_TRUE(loop.until([&] { return asked().starts_with("GET /api/targets?watch=1&from=1 "); }));
+  EXPECT_TRUE(loop.until([&] { return agent.wires.front()->ended && !counter_now.wires.empty(); }));
+  const auto w = loop.connect(listen);
+  w->send(ask());
+  EXPECT_TRUE(served(w));
+  EXPECT_GT(calls, 0);
+  EXPECT_TRUE(up());
+}
+// A file that can't be read changes nothing, and the program goes on.
+TEST_F(ProcessTest, HangUpWithABadFileChangesNothing) {
+  run();
+  ASSERT_TRUE(up());
+  std::ofstream(dir / "config.json") << "{";
+  kill(child, SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return log().find("stays as it was") != std::string::npos; }));
+  const auto w = loop.connect(listen);
+  w->send(ask());
+  EXPECT_TRUE(served(w));
+}
 // More connections than the process has descriptors for, against what it was told: it goes on serving.
 TEST_F(ProcessTest, SurvivesALackOfDescriptors) {
   run(40);
