Accept only finite totals from the counter

An answer of "ok nan" or "ok inf" was read as a total, since from_chars takes these words for floating-point values. A total that is no number made the units held no number either, and then every request of that customer passed, ceiling or not. It now takes the path of every other unreadable answer. The test fails with the former reader.

--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 #include "facts.hpp"
@@ -155,7 +156,7 @@
 
   static bool number(std::string_view text, double& value) {
     const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return failed == std::errc{} && end == text.data() + text.size();
+    return failed == std::errc{} && end == text.data() + text.size() && std::isfinite(value);
   }
 
   // The connection is gone or of no use. What is known not to be written whole was not added.
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -125,6 +125,17 @@
   EXPECT_TRUE(
       loop.until([&] { return std::ranges::any_of(server.wires, [](const auto& w) { return w->ended; }); }));
 }
+// These read as floating-point values, and a total that is none of them would let every request pass.
+TEST_F(CounterTest, NotANumberAndInfinityAreNoTotals) {
+  for (const std::string total : {"nan", "-nan", "inf", "-inf", ""}) {
+    told.clear();
+    Peer server(loop.io, lines([&](const std::string&) { return "ok " + total + "\r\n"; }));
+    start(server.at(), 5s);
+    call(4);
+    ASSERT_TRUE(wait_for(1));
+    EXPECT_EQ(told[0].outcome, CountOutcome::timeout) << total;
+  }
+}
 TEST_F(CounterTest, EndlessLineEndsTheConnection) {
   Peer server(loop.io, [](Wire& w) { w.in.clear(), w.send(std::string(10000, '7')); });
   start(server.at(), 5s);
