Let peers that send no whole request go within 3 s of connecting

A silent connection was kept for 120 s (kIdleClient) and a request in pieces for 10 s from its first byte (kSlowRequest), looked at once a second. A connection now has 2 s for its first whole request, counted from the accept, looked at every 250 ms. One that was served may idle as long as before.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -137,7 +137,7 @@
 // ---- A session ------------------------------------------------------------------------------------------
 
 ClientSession::ClientSession(Clients& clients, Socket socket)
-    : clients_(clients), socket_(std::move(socket)), since_(clients.timers_.now()) {}
+    : clients_(clients), socket_(std::move(socket)), opened_(clients.timers_.now()), since_(opened_) {}
 
 void ClientSession::start() {
   set_no_delay(socket_);
@@ -209,7 +209,7 @@
   auto message = parser_->release();
   parser_.reset();
   const Time began = since_;
-  began_ = false;
+  began_ = fresh_ = false;
   keep_alive_ = message.keep_alive();
   enter(Stage::waiting);
   const string_view target(message.target().data(), message.target().size());
@@ -290,9 +290,11 @@
 void ClientSession::sweep(Time now) {
   const auto limit = stage_ == Stage::writing     ? facts::kSlowReader
                      : stage_ == Stage::lingering ? facts::kLinger
-                     : began_                     ? facts::kSlowRequest
+                     : began_ || fresh_           ? facts::kSlowRequest
                                                   : facts::kIdleClient;
-  if (stage_ == Stage::waiting || now - since_ < limit) return;
+  // Whoever connects has so long for its first request, with whatever pauses.
+  const Time from = stage_ == Stage::reading && fresh_ ? opened_ : since_;
+  if (stage_ == Stage::waiting || now - from < limit) return;
   if (stage_ == Stage::reading && began_)
     return began_ = false, reject(http::status::request_timeout, "the request did not come");
   close();
@@ -315,7 +317,7 @@
   acceptor_.bind(at);
   acceptor_.listen(asio::socket_base::max_listen_connections);
   accept();
-  timers_.after(facts::kSweep, [this] { sweep(); });
+  timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
 
 void Clients::accept() {
@@ -362,7 +364,7 @@
     s->sweep(now);
     if (draining_ && s->idle() && now - s->since() > facts::kNewAfterTerm) s->close();
   }
-  timers_.after(facts::kSweep, [this] { sweep(); });
+  timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
 
 void Clients::drain() {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -69,7 +69,9 @@
   std::optional<Parser> parser_;
   http::response<http::string_body> response_;
   Stage stage_ = Stage::reading;
+  Time opened_{};
   Time since_{};               // of the stage, or of the first byte of a request that has not come whole
+  bool fresh_ = true;          // no request has come whole yet
   bool began_ = false;         // a part of a request has come
   bool reads_ = false;         // a read is pending
   bool keep_alive_ = false;    // what the request that is out wants
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -264,6 +264,28 @@
   EXPECT_EQ(status(w), 408);
   EXPECT_TRUE(loop.until([&] { return w->ended; }));
 }
+// TERMS give whoever connects 3 s, from the connection on, until it has an error or a close.
+TEST_F(NodeTest, PeersThatSendNoWholeRequestAreLetGoInTime) {
+  start();
+  const auto begun = std::chrono::steady_clock::now();
+  const auto silent = client(), late = client();
+  loop.until([&] { return std::chrono::steady_clock::now() - begun > 1500ms; });
+  late->send("GET /safe HT");
+  EXPECT_EQ(status(late), 408);
+  EXPECT_TRUE(loop.until([&] { return silent->ended; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+}
+TEST_F(NodeTest, AConnectionThatWasServedMayIdleLonger) {
+  start();
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_EQ(status(w), 200);
+  const auto silent = client();
+  ASSERT_TRUE(loop.until([&] { return silent->ended; }));
+  EXPECT_FALSE(w->ended);
+  w->send(Ask{.id = "a2"}.text());
+  EXPECT_EQ(status(w), 200);
+}
 TEST_F(NodeTest, RequestInPiecesIsServed) {
   start();
   const auto text = notice().text();
