Refuse a retry at once when its first try's aim has passed

Symptom: 15% to 21% of what was offered in a 5-second window was served late, with a 99th percentile near 2,000 ms, while attempts took 50 ms in the middle and 500 ms at most.

A client comes back 0.3 to 1 s after a refusal and counts from its first try, which has an aim of 687 ms. Each retry served past its aim takes units that a fresh request of the same customer then lacks.

Ruled out: slow servers and parking (see the attempts' times), time spent in the node (the median to the first attempt is 5 ms).

Faulty lines: Arrival::is_retry was read nowhere; admit() and further() counted the aim from the arrival of the try at hand. A retry given a whole try's time says nothing and is treated as new. The refusal is immediate and carries a retry-after.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -57,6 +57,7 @@
 constexpr double kBoundRise = 0.15;  // requests added for each answer in good time at a used bound
 constexpr double kBoundUsed = 0.8;   // "nearly used"
 constexpr double kParkShare = 0.3;   // part of the aim that a request may wait for a place; later is too late
+constexpr double kSameTime = 0.01;   // part of a try's time by which two that are the same may differ
 constexpr double kRetryEarn = 0.1;   // further attempts earned per request: keeps retries under a tenth
 constexpr double kRetryMost = 10;    // and how many can be saved up
 constexpr double kPatience = 10;     // expected latencies before an attempt counts as stuck
@@ -271,6 +272,7 @@
   CustomerId customer{};
   double units = 1;
   std::uint32_t gateways = 1;
+  Time first_asked{};  // when its client's first try came, as far as that can be told
   Time arrived{}, deadline{};
   Time alarm = Time::max();
   Stage stage = Stage::leasing;
@@ -296,7 +298,11 @@
 class Gateway::Logic {
  public:
   Logic(Settings s, std::uint64_t seed)
-      : set_((validate(s), std::move(s))), rng_(seed), book_(set_), latency_(set_.classes.size(), 0.0) {
+      : set_((validate(s), std::move(s))),
+        rng_(seed),
+        book_(set_),
+        latency_(set_.classes.size(), 0.0),
+        whole_try_(set_.classes.size()) {
     for (const auto& c : set_.classes) most_worth_ = std::max(most_worth_, c.worth * set_.max_units);
   }
 
@@ -729,13 +735,31 @@
     r.gateways = std::clamp(e.gateways, 1u, set_.fleet_size);
     r.lot = unit_random() + 1 - worth_part(r);
     r.arrived = now_, r.deadline = now_ + e.time_left;
+    r.first_asked = now_ - asked_before(e);
     retry_tokens_ = std::min(kRetryMost, retry_tokens_ + kRetryEarn);
+    if (too_late(r)) return refuse(e.request, r, back_off());
     admit(e.request, r);
   }
 
+  // How long ago a client's first try came. A retry is given what is left of the class's deadline, counted
+  // from the first try; one that is given a whole try's time tells nothing.
+  Duration asked_before(const Arrival& e) {
+    auto& whole = at(whole_try_, e.request_class);
+    const auto deadline = at(set_.classes, e.request_class).deadline;
+    if (!e.is_retry) return whole = std::max(whole, std::min(e.time_left, deadline)), Duration{};
+    if (std::chrono::abs(e.time_left - whole) < scaled(whole, kSameTime)) return Duration{};
+    return std::max(deadline - e.time_left, Duration{});
+  }
+
+  Time aim_end(const Request& r) const { return r.first_asked + cls(r).aim; }
+
+  // An answer now would be worth nothing. Guards the units of those whose answer can still be in time.
+  bool too_late(const Request& r) const { return cls(r).late_worth == 0 && now_ >= aim_end(r); }
+
   // The latest moment at which a first send still makes sense: an answer must fit into the aim.
   Time send_by(const Request& r) const {
-    return r.arrived + scaled(std::min(cls(r).aim, r.deadline - r.arrived), kParkShare);
+    const auto aim = std::max(aim_end(r) - r.arrived, Duration{});
+    return r.arrived + scaled(std::min(aim, r.deadline - r.arrived), kParkShare);
   }
 
   // First send. Units are spent now: those of a window that has rolled since are leased anew.
@@ -796,7 +820,7 @@
     bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
     if (r.may_have_run && c.effect == Effect::keyed && now_ >= r.first_run + c.memory_span) allowed = false;
-    if (c.late_worth == 0 && now_ >= r.arrived + c.aim) allowed = false;
+    if (too_late(r)) allowed = false;
     ServerId server{};
     if (allowed && choose(r, server) == Pick::server) return send(id, r, server);
     const bool harmless = !r.may_have_run || c.effect == Effect::safe ||
@@ -912,7 +936,8 @@
   std::vector<Action> out_;
   LeaseBook book_;
   std::map<ServerId, Server> servers_;
-  std::vector<double> latency_;  // per class: EWMA of good answers, seconds; 0: none yet
+  std::vector<double> latency_;      // per class: EWMA of good answers, seconds; 0: none yet
+  std::vector<Duration> whole_try_;  // per class: the longest time that a first try has had
   std::unordered_map<RequestId, Request> requests_;
   std::deque<RequestId> parked_;
   Recent answers_, arrivals_;         // good answers of all servers; requests
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -61,6 +61,28 @@
   EXPECT_EQ(h.all<Send>().size(), 2u);
 }
 
+// A class with an aim of 800 ms and a deadline of 2 s: a retry's time tells when the first try came.
+TEST(Retries, OneWhoseAimHasPassedIsRefusedAtOnceAndTakesNoUnits) {
+  Host h;
+  h.servers(2);
+  const auto retry = [&](Duration left) {
+    const auto id = static_cast<RequestId>(h.next_request++);
+    h.give(Arrival{id, ClassIndex(0), PlanIndex(0), CustomerId(1), left, 1, 2, true});
+  };
+  const auto first = h.ask_granted();  // given 1 s, half of the deadline
+  ASSERT_TRUE(first);
+  retry(1100ms);
+  ASSERT_TRUE(h.has<Refuse>());
+  EXPECT_GT(h.all<Refuse>()[0].retry_after, 0ns);
+  EXPECT_FALSE(h.has<AddToCount>());
+  retry(500ms);
+  EXPECT_TRUE(h.has<Refuse>());
+  retry(1900ms);
+  EXPECT_TRUE(h.has<Send>());
+  retry(1s);  // a whole try's time: nothing can be told
+  EXPECT_TRUE(h.has<Send>());
+}
+
 TEST(OpenCap, RequestsThatWaitForALeaseTakePlacesToo) {
   auto s = settings();
   s.plans[0].max_open = 4;  // two for each of two gateways
