Give a gateway the open places that the others' leases leave free

Symptom: 36% to 53% of the tries refused with half of the quota or more unused.

Five places over three gateways gave each one place and left two unused, while an idle server keeps about 1.3 requests of such a customer out on average. A request that met another at its gateway was refused although the two other gateways had nothing out.

Ruled out: the store (most of those customers held units), the bound on requests in flight (no refusal came from it).

Faulty line: max_open / gateways in admit(). The count of a window tells what the others lease; times the usual time of an answer, that is what they keep out. A gateway may use what this leaves, with one deviation for chance, and an even part at least. The older tests of the cap now have a busy other gateway, or a cap of one.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,6 +42,7 @@
 constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
 constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
 constexpr double kOverCalls = 1.5;   // calls made for a customer over its quota, times those that can succeed
+constexpr double kLeastGone = 0.25;  // part of a window before which its count says little of the rate
 constexpr double kUnitSlop = 1e-6;   // totals come rounded to seven digits
 constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
 constexpr double kLatencyGain = 0.07;       // EWMA gain per answer: about the last 14, as work varies a lot
@@ -126,6 +127,7 @@
   Recent tries;                         // here
   double over = 0;                      // what was asked of the last window called for, times its limit
   Time called_at{};
+  double elsewhere = -1;   // units a second that other gateways lease, by the last answer; below 0: not known
   std::uint32_t open = 0;  // places taken by requests that wait or are out, for plans that cap them
   std::deque<RequestId> waiting;
 };
@@ -336,10 +338,10 @@
     if (!terms(r).metered && plan.max_open == 0) return send_on(id, r);
     auto& l = book_.leases[r.customer];
     l.plan = r.plan;
-    // A cap on requests open at once is not part of the escrow: each gateway keeps to its part of it. The
-    // place is taken now: those that wait for a lease are let go together, and all would be out at once.
+    // A cap on requests open at once is not part of the escrow: each gateway keeps to its places. One is
+    // taken now: those that wait for a lease are let go together, and all would be out at once.
     if (plan.max_open > 0 && !r.holds_place) {
-      if (l.open >= std::max(1u, plan.max_open / std::max(1u, r.gateways))) return refuse(id, r, back_off());
+      if (l.open >= places(r, l)) return refuse(id, r, back_off());
       r.holds_place = true, ++l.open;
     }
     if (!terms(r).metered) return send_on(id, r);
@@ -370,6 +372,19 @@
     if (!l.call_out) lease_more(r.customer, l);
   }
 
+  // How many of the plan's places are this gateway's: what the others are likely to leave, by the rate at
+  // which they lease and the time that an answer takes, but at least an even part. Guards against refusing
+  // at one gateway while places are free at the others, as a customer's requests come unevenly. It can hurt
+  // for moments after a customer has moved.
+  std::uint32_t places(const Request& r, const Lease& l) const {
+    const auto cap = at(set_.plans, r.plan).max_open;
+    const auto even = std::max(1u, cap / std::max(1u, r.gateways));
+    if (l.elsewhere < 0) return even;
+    const double out = l.elsewhere / std::max(r.units, kUnitSlop) * expected(r);
+    const double left = cap - out - std::sqrt(out);  // with room for chance
+    return std::max(even, static_cast<std::uint32_t>(std::max(left, 0.0)));
+  }
+
   bool take(Request& r, Lease& l) {
     if (l.now.held + kUnitSlop < r.units) return false;
     l.now.held -= r.units;
@@ -525,8 +540,9 @@
     }
     const double excess = std::clamp(total - t.limit, 0.0, done.quantum);
     if (done.quantum > 0 && done.window == l.window) {
-      const auto gone = 1 - seconds(until_roll(done.customer, l)) / seconds(t.window);
-      l.over = total / t.limit / std::max(gone, 0.25);
+      const auto gone = std::max(1 - seconds(until_roll(done.customer, l)) / seconds(t.window), kLeastGone);
+      l.over = total / t.limit / gone;
+      l.elsewhere = std::max(0.0, total - u.added) / (gone * seconds(t.window));
       l.called_at = now_;
     }
     u.held += done.quantum - excess;
