Count one loss of the counter's numbers once, not once for each old count

Symptom: after the worst stretch, at 59 s, customers of `extended` went on being refused with room for some 20 s, up to 164 refusals in a second.

Evidence: the counter's byte streams show one loss, at which every name starts at 0 again. The log says "counter lost its counts" 64 times over the four nodes, from 61.7 s to 81.7 s: once for each window leased ahead before the loss, as each comes up. Every time, windows under a ceiling that had begun before that moment were shut anew; windows of `extended` last under 2 s, so it was shut for most of the time.

Ruled out: a counter that loses counts again and again (names opened after the first loss keep their totals).

Faulty line: credit() set lost_at to the present with each answer that showed a loss. An answer now proves a new loss only if the count had been answered since the last known one.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -109,10 +109,11 @@
 
 struct Units {
   double held = 0;
-  double added = 0;     // own net amount known to be in the count
-  double owed = 0;      // of timed-out adds: taken off at the next call; below 0: to be added then
-  bool credit = false;  // a request has passed before its units were leased
-  bool empty = false;   // the window is known to have no units left
+  double added = 0;                // own net amount known to be in the count
+  double owed = 0;                 // of timed-out adds: taken off at the next call; below 0: to be added then
+  Time answered_at = Time::min();  // by the counter, for this window
+  bool credit = false;             // a request has passed before its units were leased
+  bool empty = false;              // the window is known to have no units left
 };
 
 struct Lease {
@@ -528,12 +529,14 @@
       return;
     }
     const double before = u.added;
+    const auto answered_before = std::exchange(u.answered_at, now_);
     u.added += done.amount;
     double total = e.total;
     const double slop = kUnitSlop * std::max(1.0, std::abs(e.total)) + kUnitSlop;
     if (total < u.added - slop - kCountSlop) {  // the counter came back without its counts
-      if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
-      book_.lost_at = now_;
+      // One loss shows in every count that is older, up to the furthest window leased ahead: it is not lost
+      // anew each time.
+      if (answered_before > book_.lost_at) log("counter lost its counts"), book_.lost_at = now_;
       if (t.ceiling) return void(u.empty = true);
       total += before;  // at least what this gateway had leased is used
       u.added = e.total;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -61,6 +61,43 @@
   EXPECT_EQ(h.all<Send>().size(), 2u);
 }
 
+// A loss shows in each count from before it, one after the other; windows begun since the first are sound.
+TEST(Leases, OneLossOfCountsShutsTheWindowsUnderACeilingOnce) {
+  Host h;
+  h.servers(4);
+  const auto until_called = [&](std::uint64_t customer) -> std::optional<AddToCount> {
+    for (int i = 0; i < 20; ++i) {
+      h.ask(customer);
+      const auto calls = h.all<AddToCount>();
+      for (const auto& s : h.all<Send>()) h.outcome(s, Outcome::ok, true);
+      if (!calls.empty()) return calls[0];
+    }
+    return std::nullopt;
+  };
+  const auto answer = [&](const std::optional<AddToCount>& call) {
+    ASSERT_TRUE(call);
+    h.count(*call, call->amount);  // whatever was added before is gone
+    for (const auto& s : h.all<Send>()) h.outcome(s, Outcome::ok, true);
+  };
+  for (std::uint64_t c = 1; c <= 8; ++c) {
+    answer(until_called(c));
+    h.now += 20ms;
+  }
+  answer(until_called(1));  // shows the loss
+  h.now += 400ms;
+  for (std::uint64_t c = 2; c <= 8; ++c) {
+    answer(until_called(c));  // shows it again, where the window is the same
+    h.now += 20ms;
+  }
+  int refused = 0;
+  for (std::uint64_t c = 100; c < 160; ++c) {
+    h.ask(c, 0, 1, 1);
+    refused += h.has<Refuse>();
+  }
+  EXPECT_GT(refused, 0);
+  EXPECT_LT(refused, 55);  // about 20 of them began a window since
+}
+
 // A class with an aim of 800 ms and a deadline of 2 s: a retry's time tells when the first try came.
 TEST(Retries, OneWhoseAimHasPassedIsRefusedAtOnceAndTakesNoUnits) {
   Host h;
