--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -153,7 +153,8 @@
 }
 
 void Node::carry_out(const Refuse& s) {
-  finish(s.request, {http::status::too_many_requests, "refused\n", "text/plain", s.retry_after});
+  const auto advice = config_.named.settings.retry_after ? s.retry_after : Duration{};
+  finish(s.request, {http::status::too_many_requests, "refused\n", "text/plain", advice});
 }
 
 void Node::carry_out(const Fail& s) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -32,7 +32,7 @@
     c.descriptors = descriptors, c.seed = 1, c.keep_alive = 30s;
     c.named.settings = settings();
     c.named.settings.connect_timeout = 250ms;
-    c.named.settings.retry_after = true;
+    c.named.settings.retry_after = advises;
     c.named.names.zones = {{"a", 0}};
     nlohmann::json members = nlohmann::json::array();
     for (const auto* s : {&server, &second}) {
@@ -75,7 +75,7 @@
   }
 
   Loop loop;
-  bool one_server = false;
+  bool one_server = false, advises = true;
   std::vector<std::string> seen;  // requests that came to a server
   std::string answer;
   std::function<void(Wire&, const std::string&)> respond = [](Wire& w, const std::string&) {
@@ -168,6 +168,14 @@
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
   EXPECT_TRUE(seen.empty());
 }
+TEST_F(NodeTest, RefusalGivesNoAdviceWhereTheSettingsAllowNone) {
+  count = [] { return std::string("ok 1000\r\n"); };
+  advises = false;
+  start();
+  const int s = status(Ask{});
+  EXPECT_TRUE(s == 429 || s == 503) << s;
+  EXPECT_EQ(answer.find("Retry-After: "), std::string::npos);
+}
 // While the counter is down nothing passes beyond units held.
 TEST_F(NodeTest, CounterThatIsDownClosesTheNodeNearly) {
   start();
