Control address, figures, and price servers out by hand

Tests fail without the parts: calls by hand, stalled callers, each figure, a server left out over new lists and health.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -182,8 +182,14 @@
   std::uint32_t from = 0;
 };
 
+// The operators leave a server out by hand, or put it back. It holds whatever the list says of the server.
+struct LeaveOut {
+  ServerId server{};
+  bool out = false;
+};
+
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage>;
+                           CountAnswer, PeerMessage, LeaveOut>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
@@ -227,6 +233,11 @@
   std::size_t requests = 0, customers = 0, servers = 0, calls = 0, alarms = 0;
 };
 
+// The servers in the list, and those of them that this gateway avoids now, by hand or by choice.
+struct ServerCounts {
+  std::size_t listed = 0, avoided = 0;
+};
+
 // One gateway's decisions. It owns all its state, reads no clock, does no I/O and starts no thread; calls on
 // one object must not overlap, separate objects are independent. Events go in one by one in the order in
 // which they happened, each with the time at which it is handled; the returned actions take effect at that
@@ -245,6 +256,7 @@
 
   std::vector<Action> handle(Time now, const Event& event);
   TableSizes sizes() const;
+  ServerCounts servers(Time now) const;
 
  private:
   class Logic;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -330,6 +330,15 @@
     return {requests_.size(), book_.leases.size(), servers_.size(), book_.calls.size(), alarms_.size()};
   }
 
+  ServerCounts servers(Time now) const {
+    ServerCounts n;
+    for (const auto& [id, s] : servers_) {
+      n.listed += s.listed;
+      n.avoided += s.listed && (left_out_.contains(id) || now < s.ejected_until);
+    }
+    return n;
+  }
+
  private:
   const Terms& terms(const Request& r) const { return at(book_.terms, r.plan); }
 
@@ -598,6 +607,14 @@
     std::erase_if(servers_, [](const auto& e2) { return !e2.second.listed && e2.second.in_flight == 0; });
   }
 
+  // Out by hand is kept by id, apart from the list and from health, so that neither clears it. One put back
+  // has been restarted meanwhile: it starts cold, with a send saved up so that it is tried soon.
+  void on(const LeaveOut& e) {
+    if (e.out) return void(left_out_.insert(e.server));
+    auto* s = left_out_.erase(e.server) > 0 ? find(servers_, e.server) : nullptr;
+    if (s) start_cold(*s, now_), s->credit = 1;
+  }
+
   // Slow start. Guards a server that began anew, as the list says or a probe after failed connects. It hurts
   // where a server was only cut off: it is used too little for a while.
   void start_cold(Server& s, Time since) {
@@ -696,8 +713,10 @@
 
   enum class Pick { server, wait, none };
 
+  bool usable(const Server& s) const { return s.ready() && !left_out_.contains(s.info.id); }
+
   bool may_go_to(const Request& r, const Server& s) const {
-    if (!s.ready()) return false;
+    if (!usable(s)) return false;
     if (!r.may_have_run || cls(r).effect != Effect::keyed) return true;
     if (cls(r).group == Group::zone) return s.info.zone == r.ran_at.zone;
     if (cls(r).group == Group::cell) return s.info.cell == r.ran_at.cell;
@@ -715,7 +734,7 @@
     double capacity = 0;  // of all that is sound, in warm servers
     const bool room = in_flight_ + r.lot < bound();
     for (const auto& [id, s] : servers_) {
-      if (!s.ready() || ejected(s)) continue;
+      if (!usable(s) || ejected(s)) continue;
       sound = sound || may_go_to(r, s), warm = warm || !is_cold(s);
       capacity += is_cold(s) ? warmth(s) : 1;
     }
@@ -933,7 +952,7 @@
                : std::next(it);
     }
     for (auto& [id, s] : servers_) {
-      if (s.misses == 0 || !s.ready() || s.probing || !set_.probes) continue;
+      if (s.misses == 0 || !usable(s) || s.probing || !set_.probes) continue;
       if (now_ < s.ejected_until - kSweep) continue;
       s.probing = true;
       s.ejected_until = std::max(s.ejected_until, now_ + kFirstEjection);
@@ -960,6 +979,7 @@
   std::vector<Action> out_;
   LeaseBook book_;
   std::map<ServerId, Server> servers_;
+  std::set<ServerId> left_out_;      // by hand
   std::vector<double> latency_;      // per class: EWMA of good answers, seconds; 0: none yet
   std::vector<Duration> whole_try_;  // per class: the longest time that a first try has had
   std::unordered_map<RequestId, Request> requests_;
@@ -981,5 +1001,6 @@
 Gateway::~Gateway() = default;
 std::vector<Action> Gateway::handle(Time now, const Event& event) { return logic_->handle(now, event); }
 TableSizes Gateway::sizes() const { return logic_->sizes(); }
+ServerCounts Gateway::servers(Time now) const { return logic_->servers(now); }
 
 }  // namespace snowknot
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -67,6 +67,11 @@
   return ServerId(n);
 }
 
+std::optional<ServerId> Discovery::known_as(const std::string& id) const {
+  const auto it = numbers_.find(id);
+  return it == numbers_.end() ? std::nullopt : std::optional(it->second);
+}
+
 ZoneIndex Discovery::zone_of(const std::string& name) {
   return ZoneIndex(zones_.emplace(name, static_cast<std::uint32_t>(zones_.size())).first->second);
 }
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -40,6 +40,8 @@
   // The agent listens elsewhere from now on: the watch goes on there, from the last version that was read.
   void move(const Tcp::endpoint& at, std::string host);
   std::uint64_t revision() const { return revision_; }
+  // The server that some list has named so.
+  std::optional<ServerId> known_as(const std::string& id) const;
 
  private:
   ServerId number_of(const std::string& id);
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -34,6 +34,8 @@
 inline constexpr Duration
     kSweepClients = 250ms;                      // and sessions: what is left of the 3 s for one that is slow
 inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
+inline constexpr std::size_t kControlCallers = 16;  // that are connected at once; more make the oldest go
+inline constexpr Duration kControlCall = 1s;  // for an operator's whole call to come, and its answer to go
 inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
 inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
 inline constexpr std::size_t kMostList = 16UL << 20U;  // bytes of one line of the watch
@@ -45,7 +47,8 @@
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
-    kOwnDescriptors = 24;                     // standard streams, epoll, timer, signals, listener, discovery
+    kOwnDescriptors = 24 + kControlCallers +
+                      2;  // standard streams, epoll, timer, signals, listeners, discovery; control
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
 }  // namespace snowknot::facts
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -44,6 +44,10 @@
   c.named = read_settings(settings);
   c.keep_alive = nanos(object_of(field(settings, "ceilings"), "ceilings"), "keepalive-ns");
   if (c.named.settings.counter) c.counter = address(text(config, "counter"), "counter");
+  if (const auto* at = optional_field(config, "control"))
+    c.control = address(text_of(*at, "control"), "control");
+  else if (const char* named = std::getenv("GW_CONTROL"); named != nullptr && *named != '\0')
+    c.control = address(named, "control");
   validate(c.named.settings);
   return c;
 }
@@ -54,8 +58,10 @@
     if (failed) return;
     try {
       node.reconfigure(read_config());
+      node.reloaded(true);
       note("configuration read again");
     } catch (const std::exception& x) {
+      node.reloaded(false);
       note(std::string("the configuration stays as it was: ") + x.what());
     }
     reconfigure_on(signals, node);
--- /dev/null
+++ b/src/node/metrics.cpp
@@ -0,0 +1,49 @@
+#include "metrics.hpp"
+
+namespace snowknot {
+namespace {
+
+std::string escaped(std::string_view label) {
+  std::string text;
+  for (const char c : label) {
+    if (c == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (c == '\\' || c == '"') text += '\\';
+    text += c;
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string Metrics::text(const Gauges& now) const {
+  std::string text;
+  const auto family = [&](const char* name, const char* type) {
+    text.append("# TYPE node_").append(name).append(" ").append(type).append("\n");
+  };
+  const auto single = [&](const char* name, const char* type, std::uint64_t value) {
+    family(name, type);
+    text.append("node_").append(name).append(" ").append(std::to_string(value)).append("\n");
+  };
+  family("replies", "counter");
+  for (const auto& [name, r] : replies_) {
+    const auto line = [&, label = escaped(name)](const char* status, std::uint64_t value) {
+      text.append("node_replies{type=\"").append(label).append("\",status=\"").append(status);
+      text.append("\"} ").append(std::to_string(value)).append("\n");
+    };
+    line("success", r.success);
+    line("overload", r.overload);
+    line("error", r.error);
+  }
+  single("dispatches", "counter", dispatches_);
+  single("concurrent", "gauge", now.concurrent);
+  single("targets", "gauge", now.targets);
+  single("targets_disabled", "gauge", now.targets_disabled);
+  single("reload_success", "counter", reload_success_);
+  single("reload_failure", "counter", reload_failure_);
+  return text;
+}
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/metrics.hpp
@@ -0,0 +1,32 @@
+// The figures that the operators fetch: counters, raised where the thing happens, and their text.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace snowknot {
+
+class Metrics {
+ public:
+  struct Replies {  // final answers to the requests of one class
+    std::uint64_t success = 0, overload = 0, error = 0;
+  };
+  struct Gauges {  // what is so at the moment of the call
+    std::size_t concurrent = 0, targets = 0, targets_disabled = 0;
+  };
+
+  // Kept for the life of the process, also when the class is dropped.
+  Replies& replies(const std::string& request_class) { return replies_[request_class]; }
+  void dispatched() { ++dispatches_; }
+  void reloaded(bool taken) { ++(taken ? reload_success_ : reload_failure_); }
+
+  std::string text(const Gauges& now) const;
+
+ private:
+  std::map<std::string, Replies> replies_;
+  std::uint64_t dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
+};
+
+}  // namespace snowknot
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,9 @@
                 for_peers(config_) - for_clients(config_), *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
-      clients_(io, timers_, config_.named.settings, for_clients(config_), *this) {
+      clients_(io, timers_, config_.named.settings, for_clients(config_), *this),
+      control_(io, timers_, *this) {
+  for (const auto& c : config_.named.settings.classes) metrics_.replies(c.name);
   if (config_.counter && config_.named.settings.counter) counter_ = new_counter();
 }
 
@@ -38,6 +40,7 @@
 
 void Node::start() {
   discovery_.start(config_.known);
+  if (config_.control) control_.listen(*config_.control);
   clients_.listen(config_.listen);
 }
 
@@ -65,6 +68,10 @@
 }
 
 // Once ready, always ready: a counter that has moved is tried while requests come in.
+const RequestClass& Node::at_class(ClassIndex c) const {
+  return config_.named.settings.classes.at(static_cast<std::size_t>(c));
+}
+
 bool Node::ready() {
   was_ready_ = was_ready_ || (knows_servers_ && (!counter_ || counter_->tried()));
   return was_ready_;
@@ -93,8 +100,10 @@
   const RequestId id{++requests_};
   request.arrival.request = id;
   const Arrival arrival = request.arrival;
-  open_.emplace(id,
-                Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), 0, 0});
+  auto& counts = metrics_.replies(at_class(request.arrival.request_class).name);
+  open_.emplace(
+      id, Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), &counts, 0, 0});
+  ++concurrent_;
   happened(arrival);
   return static_cast<std::uint64_t>(id);
 }
@@ -104,6 +113,8 @@
   const auto it = open_.find(id);
   if (it == open_.end() || !it->second.session) return;
   it->second.session.reset();
+  --concurrent_;
+  ++it->second.replies->error;
   happened(ClientGone{id});
   forget_if_done(id);
 }
@@ -120,7 +131,7 @@
   e.server = errand.server;
   e.outcome = outcome;
   e.took = timers_.now() - errand.began;
-  if (outcome == Outcome::ok) finish(errand.request, answer);
+  if (outcome == Outcome::ok) finish(errand.request, &Metrics::Replies::success, answer);
   const auto it = open_.find(errand.request);
   e.finished = it == open_.end() || !it->second.session;
   if (it != open_.end()) --it->second.out;
@@ -128,6 +139,8 @@
   happened(e);
 }
 
+void Node::attempt_written(const Errand&) { metrics_.dispatched(); }
+
 void Node::probe_ended(const Errand& errand, Outcome outcome) {
   happened(ProbeEnded{errand.server, outcome, timers_.now() - errand.began, std::nullopt});
 }
@@ -141,6 +154,22 @@
   happened(std::move(update));
 }
 
+// ---- What operators ask ---------------------------------------------------------------------------------------
+
+std::string Node::figures() {
+  const auto servers = gateway_.servers(timers_.now());
+  return metrics_.text({concurrent_, servers.listed, servers.avoided});
+}
+
+bool Node::leave_out(const std::string& server, bool out) {
+  const auto id = discovery_.known_as(server);
+  if (!id) return false;
+  note("server " + server + (out ? " is left out by hand" : " may serve again"));
+  upstream_.bar(*id, out);
+  happened(LeaveOut{*id, out});
+  return true;
+}
+
 // ---- What the module decides --------------------------------------------------------------------------------
 
 void Node::carry_out(const Send& s) {
@@ -154,11 +183,12 @@
 
 void Node::carry_out(const Refuse& s) {
   const auto advice = config_.named.settings.retry_after ? s.retry_after : Duration{};
-  finish(s.request, {http::status::too_many_requests, "refused\n", "text/plain", advice});
+  finish(s.request, &Metrics::Replies::overload,
+         {http::status::too_many_requests, "refused\n", "text/plain", advice});
 }
 
 void Node::carry_out(const Fail& s) {
-  finish(s.request, {http::status::bad_gateway, "failed\n", "text/plain", {}});
+  finish(s.request, &Metrics::Replies::error, {http::status::bad_gateway, "failed\n", "text/plain", {}});
 }
 
 void Node::carry_out(const Cancel& s) { upstream_.cancel(s.request, s.attempt); }
@@ -177,10 +207,14 @@
 void Node::carry_out(const Log& s) { note(s.text); }
 
 // The final answer, once: after it the session is no longer in the table.
-void Node::finish(RequestId request, const Answer& answer) {
+void Node::finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer) {
   const auto it = open_.find(request);
   if (it == open_.end()) return;
-  if (const auto session = std::exchange(it->second.session, nullptr)) session->answer(answer);
+  if (const auto session = std::exchange(it->second.session, nullptr)) {
+    --concurrent_;
+    ++(it->second.replies->*count);
+    session->answer(answer);
+  }
   forget_if_done(request);
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -10,8 +10,10 @@
 #include <unordered_map>
 
 #include "clients.hpp"
+#include "control.hpp"
 #include "counter.hpp"
 #include "discovery.hpp"
+#include "metrics.hpp"
 #include "net.hpp"
 #include "settings_reader.hpp"
 #include "snowknot/gateway.hpp"
@@ -23,7 +25,7 @@
   std::string name;
   Tcp::endpoint listen, discovery;
   std::string discovery_host;
-  std::optional<Tcp::endpoint> counter;
+  std::optional<Tcp::endpoint> counter, control;
   std::size_t descriptors = 0;
   std::uint64_t seed = 0;
   Duration keep_alive{};
@@ -31,7 +33,7 @@
   reading::NamedSettings named;
 };
 
-class Node : private Clients::Owner, private Upstream::Owner {
+class Node : private Clients::Owner, private Upstream::Owner, private Control::Owner {
  public:
   Node(asio::io_context& io, NodeConfig config);
 
@@ -41,12 +43,16 @@
   // Takes no new sessions for long and calls `done` when nothing is open any more.
   void drain(std::function<void()> done);
   Tcp::endpoint listens_at() const { return clients_.listens_at(); }
+  Tcp::endpoint control_at() const { return control_.listens_at(); }
+  // A new configuration was taken, or turned down.
+  void reloaded(bool taken) { metrics_.reloaded(taken); }
   std::size_t open_requests() const { return open_.size(); }
 
  private:
   struct Open {
     std::shared_ptr<ClientSession> session;  // none: it has its final answer, or its client has gone
     std::shared_ptr<const ClientRequest> message;
+    Metrics::Replies* replies = nullptr;  // the counts of its class
     std::uint32_t attempts = 0, out = 0;
   };
 
@@ -55,10 +61,15 @@
   void client_gone(std::uint64_t request) override;
   bool still_wanted(RequestId request) const override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
+  void attempt_written(const Errand& errand) override;
   void probe_ended(const Errand& errand, Outcome outcome) override;
+  bool serves() override { return ready(); }
+  std::string figures() override;
+  bool leave_out(const std::string& server, bool out) override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
+  const RequestClass& at_class(ClassIndex c) const;
   void carry_out(const Send& s);
   void carry_out(const Refuse& s);
   void carry_out(const Fail& s);
@@ -68,7 +79,7 @@
   void carry_out(const Probe& s);
   void carry_out(const Subscribe&) {}  // the watch runs anyway
   void carry_out(const Log& s);
-  void finish(RequestId request, const Answer& answer);
+  void finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer);
   void forget_if_done(RequestId request);
   void wait_until_drained();
   std::unique_ptr<Counter> new_counter();
@@ -79,6 +90,8 @@
   Timers timers_;
   Gateway gateway_;
   std::unordered_map<RequestId, Open> open_;
+  std::size_t concurrent_ = 0;  // of these, those without their final answer
+  Metrics metrics_;
   std::uint64_t requests_ = 0;  // the number of the last one
   std::deque<Event> events_;    // that have not been told yet
   bool telling_ = false;
@@ -90,6 +103,7 @@
   bool was_ready_ = false;
   Discovery discovery_;
   Clients clients_;
+  Control control_;
 };
 
 }  // namespace snowknot
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -87,6 +87,7 @@
   broken_ = false;
   http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
+    if (!failed && self->errand_->message) self->upstream_.owner_.attempt_written(*self->errand_);
     if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
     self->stage_ = Stage::waiting;
     if (self->broken_) self->broke();
@@ -210,6 +211,12 @@
   }
 }
 
+void Upstream::bar(ServerId server, bool out) {
+  if (!out) return void(barred_.erase(server));
+  barred_.insert(server);
+  if (pools_.contains(server)) drop_idle(server);
+}
+
 void Upstream::send(Errand errand) { run(std::move(errand)); }
 
 void Upstream::probe(ServerId server) {
@@ -234,9 +241,13 @@
   c->open(p.address, std::move(errand));
 }
 
+bool Upstream::takes_work(ServerId server, const Pool& pool) const {
+  return pool.takes_work && !barred_.contains(server);
+}
+
 bool Upstream::may_start(const Errand& e) const {
   const auto it = pools_.find(e.server);
-  if (it == pools_.end() || !it->second.takes_work || timers_.now() >= e.deadline) return false;
+  if (it == pools_.end() || !takes_work(e.server, it->second) || timers_.now() >= e.deadline) return false;
   return !e.message || owner_.still_wanted(e.request);
 }
 
@@ -260,7 +271,7 @@
   auto& p = pools_.at(c->server());
   std::erase(p.busy, c);
   p.idle.push_back(c);
-  if (!p.takes_work) drop_idle(c->server());
+  if (!takes_work(c->server(), p)) drop_idle(c->server());
 }
 
 void Upstream::forget(const Connection& c) {
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "clients.hpp"
@@ -67,6 +68,7 @@
   struct Owner {
     virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
     virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
+    virtual void attempt_written(const Errand& errand) = 0;  // its last byte
     virtual void probe_ended(const Errand& errand, Outcome outcome) = 0;
 
    protected:
@@ -81,6 +83,9 @@
   // A whole list: a server that it does not hold is gone.
   void retain(const std::vector<ServerInfo>& listed);
 
+  // Out by hand, kept by id whatever discovery says: nothing new is written there.
+  void bar(ServerId server, bool out);
+
   void send(Errand errand);
   void probe(ServerId server);
   void cancel(RequestId request, std::uint32_t attempt);
@@ -98,6 +103,7 @@
 
   void run(Errand errand);
   void report(const Errand& errand, Outcome outcome, Answer answer);
+  bool takes_work(ServerId server, const Pool& pool) const;
   bool may_start(const Errand& errand) const;
   void rest(const Connection& c);    // it has become idle
   void forget(const Connection& c);  // it has ended
@@ -111,6 +117,7 @@
   std::size_t most_connections_, connections_ = 0;
   Owner& owner_;
   std::unordered_map<ServerId, Pool> pools_;
+  std::unordered_set<ServerId> barred_;
 };
 
 }  // namespace snowknot
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,102 @@
+// Operators' calls over loopback sockets: what is answered to whom, and that callers who stall hold up nobody.
+#include "control.hpp"
+
+#include <set>
+
+#include "facts.hpp"
+#include "metrics.hpp"
+#include "peers.hpp"
+
+namespace snowknot::test {
+namespace {
+
+struct ControlTest : ::testing::Test, Control::Owner {
+  ControlTest() { control.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)); }
+
+  bool serves() override { return ready; }
+  std::string figures() override { return "node_concurrent 0\n"; }
+  bool leave_out(const std::string& server, bool leave) override {
+    if (server != "s-1" && server != "s 2") return false;
+    if (leave) out.insert(server);
+    if (!leave) out.erase(server);
+    return true;
+  }
+  int call(const std::string& text) {
+    const auto w = loop.connect(control.listens_at());
+    w->send(text);
+    EXPECT_TRUE(loop.until([&] { return w->ended; })) << text;
+    answer = w->in;
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+  }
+  int call(const std::string& method, const std::string& target) {
+    return call(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+
+  Loop loop;
+  Clock clock;
+  Timers timers{loop.io, clock};
+  bool ready = true;
+  std::set<std::string> out;
+  std::string answer;
+  Control control{loop.io, timers, *this};
+};
+
+TEST_F(ControlTest, ReadyFollowsTheNode) {
+  EXPECT_EQ(call("GET", "/ready"), 200);
+  ready = false;
+  EXPECT_EQ(call("GET", "/ready"), 503);
+}
+TEST_F(ControlTest, FiguresAreText) {
+  EXPECT_EQ(call("GET", "/metrics"), 200);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nnode_concurrent 0\n")) << answer;
+  EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos);
+}
+TEST_F(ControlTest, ServersAreLeftOutAndPutBack) {
+  EXPECT_EQ(call("POST", "/price-servers/disable?who=s-1"), 200);
+  EXPECT_TRUE(out.contains("s-1"));
+  EXPECT_EQ(call("POST", "/price-servers/enable?x=1&who=s-1"), 200);
+  EXPECT_TRUE(out.empty());
+  EXPECT_EQ(call("POST", "/price-servers/disable?who=s%202"), 200);
+  EXPECT_EQ(call("POST /price-servers/disable?who=s-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"),
+            200);
+}
+TEST_F(ControlTest, WhatIsUnknownOrMalformedIsA4xx) {
+  EXPECT_EQ(call("POST", "/price-servers/disable?who=s-9"), 404);
+  EXPECT_EQ(call("GET", "/nothing"), 404);
+  EXPECT_EQ(call("GET", "/price-servers/disable?who=s-1"), 405);
+  EXPECT_EQ(call("POST", "/metrics"), 405);
+  for (const char* bad : {"", "?", "?who", "?who=", "?who=%2", "?who=%zz", "?who=s-1&who=s-1", "?whom=s-1"})
+    EXPECT_EQ(call("POST", std::string("/price-servers/enable") + bad), 400) << bad;
+  EXPECT_EQ(call("what is this\r\n\r\n"), 400);
+  EXPECT_EQ(call("GET /" + std::string(facts::kMostHeader, 'x') + " HTTP/1.1\r\n\r\n"), 400);
+  EXPECT_TRUE(out.empty());
+}
+// Far more callers than there are places, none with a whole call: the next one is answered at once all the same.
+TEST_F(ControlTest, CallersThatStallHoldUpNobody) {
+  std::vector<std::shared_ptr<Wire>> stalled;
+  for (std::size_t i = 0; i < 3 * facts::kControlCallers; ++i) {
+    stalled.push_back(loop.connect(control.listens_at()));
+    stalled.back()->send("GET /rea");
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  EXPECT_EQ(call("GET", "/ready"), 200);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, facts::kControlCall);
+  EXPECT_TRUE(loop.until([&] { return std::ranges::all_of(stalled, [](auto& w) { return w->ended; }); }));
+}
+
+TEST(MetricsTest, EveryFigureHasItsLine) {
+  Metrics m;
+  m.replies("look\"up\\\n").success = 7;
+  ++m.replies("b").overload;
+  m.dispatched(), m.reloaded(true), m.reloaded(false), m.reloaded(false);
+  const auto text = m.text({.concurrent = 3, .targets = 9, .targets_disabled = 2});
+  for (const char* line :
+       {"node_replies{type=\"look\\\"up\\\\\\n\",status=\"success\"} 7\n",
+        "node_replies{type=\"b\",status=\"overload\"} 1\n", "node_replies{type=\"b\",status=\"error\"} 0\n",
+        "\nnode_dispatches 1\n", "\nnode_concurrent 3\n", "\nnode_targets 9\n", "\nnode_targets_disabled 2\n",
+        "\nnode_reload_success 1\n", "\nnode_reload_failure 2\n"})
+    EXPECT_NE(text.find(line), std::string::npos) << line << text;
+}
+
+}  // namespace
+}  // namespace snowknot::test
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -831,6 +831,36 @@
   EXPECT_GE(served, 80);
 }
 
+// Neither a new list nor health clears it; put back, the server is cold but soon tried.
+TEST(Servers, OneLeftOutByHandGetsNothingWhateverTheListSays) {
+  Host h;
+  h.servers(2);
+  h.give(LeaveOut{ServerId{1}, true});
+  h.give(LeaveOut{ServerId{1}, true});
+  for (int i = 0; i < 40; ++i) {
+    h.now += 50ms;
+    if (i % 10 == 0) h.servers(2);
+    if (i == 20) h.give(ListUpdate{ListKind::changes, {{.id = ServerId{1}, .phase = Phase::gone}}});
+    const auto s = h.ask_granted(static_cast<std::uint64_t>(100 + i));
+    ASSERT_TRUE(s && s->server == ServerId{2}) << i;
+    h.outcome(*s, Outcome::ok, true);
+  }
+  EXPECT_EQ(h.gateway.servers(h.now).listed, 2u);
+  EXPECT_EQ(h.gateway.servers(h.now).avoided, 1u);
+  h.give(LeaveOut{ServerId{1}, false});
+  EXPECT_EQ(h.gateway.servers(h.now).avoided, 0u);
+  int there = 0;
+  for (int i = 0; i < 40; ++i) {
+    h.now += 50ms;
+    const auto s = h.ask_granted(static_cast<std::uint64_t>(200 + i));
+    ASSERT_TRUE(s) << i;
+    there += s->server == ServerId{1};
+    h.outcome(*s, Outcome::ok, true);
+  }
+  EXPECT_GE(there, 2);
+  EXPECT_LE(there, 14);  // cold: less than its half
+}
+
 TEST(Events, UnknownAndStaleIdsDoNothing) {
   Host h;
   h.servers(1);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -29,6 +29,7 @@
     NodeConfig c;
     c.listen = Tcp::endpoint(asio::ip::address_v4::loopback(), 0);
     c.discovery = agent.at(), c.discovery_host = agent.text(), c.counter = counter.at();
+    c.control = c.listen;
     c.descriptors = descriptors, c.seed = 1, c.keep_alive = 30s;
     c.named.settings = settings();
     c.named.settings.connect_timeout = 250ms;
@@ -66,6 +67,16 @@
     return status(w);
   }
   int status(const Ask& a) { return status(a.text()); }
+  // What an operator's call is answered, whole.
+  std::string call(const std::string& method, const std::string& target) {
+    const auto w = loop.connect(node->control_at());
+    w->send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(loop.until([&] { return w->ended; }));
+    return w->in;
+  }
+  bool figure(const std::string& line) {
+    return call("GET", "/metrics").find("\n" + line + "\n") != std::string::npos;
+  }
   void serve(Wire& w) {
     const auto m = w.message();
     if (m.empty()) return;
@@ -224,6 +235,49 @@
   EXPECT_EQ(seen.size(), 1u);
 }
 
+// ---- What operators see and do ----------------------------------------------------------------------------
+
+TEST_F(NodeTest, FiguresCountWhatHappened) {
+  start();
+  EXPECT_TRUE(figure("node_replies{type=\"keyed\",status=\"success\"} 0"));
+  EXPECT_EQ(status(fix()), 200);
+  respond = [](Wire& w, const std::string&) { w.reset(); };
+  EXPECT_GE(status(notice()), 500);
+  count = [] { return std::string("ok 1000\r\n"); };
+  auto other = Ask{};
+  other.cookie = "client=0000000000000009";
+  EXPECT_EQ(status(other), 429);
+  EXPECT_TRUE(figure("node_replies{type=\"keyed\",status=\"success\"} 1"));
+  EXPECT_TRUE(figure("node_replies{type=\"unsafe\",status=\"error\"} 1"));
+  EXPECT_TRUE(figure("node_replies{type=\"safe\",status=\"overload\"} 1"));
+  EXPECT_TRUE(figure("node_dispatches 2"));
+  EXPECT_TRUE(figure("node_concurrent 0"));
+  EXPECT_TRUE(figure("node_targets 2"));
+}
+TEST_F(NodeTest, ConcurrentIsWhatIsTakenAndNotEnded) {
+  start();
+  respond = {};
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return seen.size() == 1; }));
+  EXPECT_TRUE(figure("node_concurrent 1"));
+  w->close();
+  ASSERT_TRUE(loop.until([&] { return figure("node_concurrent 0"); }));
+}
+TEST_F(NodeTest, ServerLeftOutByHandGetsNothingUntilItIsPutBack) {
+  one_server = true;
+  start();
+  EXPECT_TRUE(call("POST", "/price-servers/disable?who=s-00000007").starts_with("HTTP/1.1 404"));
+  EXPECT_TRUE(call("POST", "/price-servers/disable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(call("POST", "/price-servers/disable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(figure("node_targets_disabled 1"));
+  EXPECT_EQ(status(notice()), 429);
+  EXPECT_TRUE(seen.empty());
+  EXPECT_TRUE(call("POST", "/price-servers/enable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(figure("node_targets_disabled 0"));
+  EXPECT_EQ(status(notice()), 200);
+}
+
 // ---- Bad input: an answer that says so, and no harm to other sessions --------------------------------------
 
 TEST_F(NodeTest, BadInputIsAnswered) {
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -18,6 +18,7 @@
   void attempt_ended(const Errand& e, Outcome o, Answer a) override {
     ends.push_back({e, o, std::move(a), upstream.size()});
   }
+  void attempt_written(const Errand&) override { ++written; }
   void probe_ended(const Errand& e, Outcome o) override { ends.push_back({e, o, {}, upstream.size()}); }
 
   void send(Duration timeout = 10s, std::string body = "", ServerId server = ServerId(1)) {
@@ -49,7 +50,7 @@
   Timers timers{loop.io, clock};
   std::vector<End> ends;
   bool wanted = true;
-  std::uint64_t sent = 0;
+  std::uint64_t sent = 0, written = 0;
   Upstream upstream{loop.io, timers, 250ms, 30s, 4, *this};
 };
 
@@ -59,6 +60,34 @@
   EXPECT_EQ(e.outcome, Outcome::ok);
   EXPECT_EQ(e.answer.body, body);
 }
+// An attempt counts once its last byte is written, and not before.
+TEST_F(UpstreamTest, OnlyAttemptsWrittenWholeAreCounted) {
+  outcome(answers(http_answer("200 OK")));
+  EXPECT_EQ(written, 1u);
+  Peer server(loop.io, [](Wire& w) { w.reset(); });
+  upstream.update(ServerId(1), server.at(), true);
+  send(10s, std::string(64UL << 20U, 'x'));
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(written, 1u);
+}
+// Out by hand holds whatever the list says, also for an attempt that still connects.
+TEST_F(UpstreamTest, BarredServerGetsNothingUntilItIsPutBack) {
+  Peer server(loop.io, answers(http_answer("200 OK")));
+  upstream.update(ServerId(1), server.at(), true);
+  send();
+  upstream.bar(ServerId(1), true);
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 1; }));
+  EXPECT_EQ(ends[0].outcome, Outcome::never_sent);
+  upstream.update(ServerId(1), server.at(), true);
+  send();
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(ends[1].outcome, Outcome::never_sent);
+  EXPECT_EQ(written, 0u);
+  upstream.bar(ServerId(1), false);
+  send();
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 3; }));
+  EXPECT_EQ(ends[2].outcome, Outcome::ok);
+}
 TEST_F(UpstreamTest, InterimAnswerIsPassedOver) {
   EXPECT_EQ(outcome(answers("HTTP/1.1 102 Processing\r\n\r\n" + http_answer("200 OK", "x"))).outcome,
             Outcome::ok);
