--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -34,7 +34,7 @@
 enum class PlanIndex : std::uint32_t {};   // position in Settings::plans
 enum class ZoneIndex : std::uint32_t {};   // any numbering the host keeps to
 
-// ---- Settings: fixed for the life of a Gateway -------------------------------------------------
+// ---- Settings: a Gateway keeps them until it is told of others ----------------------------------
 
 enum class Effect { safe, keyed, unsafe };  // may it run twice: yes; inside a group that drops repeats; never
 enum class Group { all, zone, cell };       // for keyed: which servers drop each other's repeats
@@ -62,6 +62,8 @@
   double price = 1;
   double over_worth = 0;
   double over_cost = 0;
+
+  bool operator==(const Plan&) const = default;
 };
 
 struct Settings {
@@ -100,6 +102,9 @@
 
 // Throws std::invalid_argument, naming the field, for settings that make no sense.
 void validate(const Settings& settings);
+// The same for settings that follow others while a gateway runs, and for what must not change then: plans, the
+// counter's terms and the fleet's numbers, from which all gateways together derive windows and ceilings.
+void validate_change(const Settings& from, const Settings& to);
 
 // ---- Events: what the host tells ----------------------------------------------------------------
 
@@ -188,8 +193,14 @@
   bool out = false;
 };
 
+// Other settings, which validate_change() accepts. Requests that are open keep those they began under; class
+// indices of what arrives from now on are positions in these.
+struct Retune {
+  std::shared_ptr<const Settings> settings;
+};
+
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage, LeaveOut>;
+                           CountAnswer, PeerMessage, LeaveOut, Retune>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,6 +103,20 @@
   return t;
 }
 
+// What was learned of a class of requests, under its name.
+struct Learned {
+  double latency = 0;    // EWMA of good answers, seconds; 0: none yet
+  Duration whole_try{};  // the longest time that a first try has had
+};
+
+// One taking of the settings, as the requests that begin under it share it. What belongs to a class that is
+// dropped ends with the last of them.
+struct Rules {
+  std::vector<RequestClass> classes;
+  std::vector<std::shared_ptr<Learned>> learned;  // one for each
+  std::uint32_t max_attempts = 1;
+};
+
 // ---- 2 Lease book ---------------------------------------------------------------------------------
 // Invariants: units are spent only in the window they were leased in; at most one call out per name; what
 // all gateways hold and have spent of one window never passes its limit while the counter keeps count.
@@ -275,6 +289,7 @@
 enum class Stage { leasing, parked, sent, ended };
 
 struct Request {
+  std::shared_ptr<const Rules> rules;  // that it began under
   ClassIndex cls{};
   PlanIndex plan{};
   CustomerId customer{};
@@ -305,13 +320,8 @@
 
 class Gateway::Logic {
  public:
-  Logic(Settings s, std::uint64_t seed)
-      : set_((validate(s), std::move(s))),
-        rng_(seed),
-        book_(set_),
-        latency_(set_.classes.size(), 0.0),
-        whole_try_(set_.classes.size()) {
-    for (const auto& c : set_.classes) most_worth_ = std::max(most_worth_, c.worth * set_.max_units);
+  Logic(Settings s, std::uint64_t seed) : set_((validate(s), std::move(s))), rng_(seed), book_(set_) {
+    take_settings();
   }
 
   std::vector<Action> handle(Time now, const Event& event) {
@@ -340,6 +350,22 @@
   }
 
  private:
+  void take_settings() {
+    auto rules = std::make_shared<Rules>();
+    rules->classes = set_.classes, rules->max_attempts = set_.max_attempts;
+    most_worth_ = 1e-9;
+    for (const auto& c : set_.classes) {
+      most_worth_ = std::max(most_worth_, c.worth * set_.max_units);
+      std::shared_ptr<Learned> known;
+      for (std::size_t i = 0; rules_ && i < rules_->classes.size(); ++i)
+        if (rules_->classes[i].name == c.name) known = rules_->learned[i];
+      rules->learned.push_back(known ? known : std::make_shared<Learned>());
+    }
+    rules_ = std::move(rules);
+  }
+
+  void on(const Retune& e) { set_ = *e.settings, take_settings(); }
+
   const Terms& terms(const Request& r) const { return at(book_.terms, r.plan); }
 
   Duration until_roll(CustomerId c, const Lease& l) const {
@@ -662,7 +688,7 @@
     if (!late) s.success += kHealthGain * ((good ? 1.0 : 0.0) - s.success);
     if (good || late) {
       const double took = seconds(e.took);
-      auto& usual = at(latency_, r.cls);
+      auto& usual = at(r.rules->learned, r.cls)->latency;
       if (good) usual += (usual == 0 ? 1 : kLatencyGain / 2) * (took - usual);
       if (usual > 0 && (good || took > usual)) s.slowness += kLatencyGain * (took / usual - s.slowness);
       bound_by(r, e);
@@ -724,7 +750,7 @@
   }
 
   double expected(const Request& r) const {
-    const double l = at(latency_, r.cls);
+    const double l = at(r.rules->learned, r.cls)->latency;
     return l > 0 ? l : seconds(cls(r).aim) / 8;  // before the first answer
   }
 
@@ -760,7 +786,7 @@
 
   // ---- 5 Attempts and final answers -----------------------------------------------------------------
 
-  const RequestClass& cls(const Request& r) const { return at(set_.classes, r.cls); }
+  const RequestClass& cls(const Request& r) const { return at(r.rules->classes, r.cls); }
   double unit_random() { return static_cast<double>(rng_() >> 11) * 0x1.0p-53; }
 
   // Advice after a refusal that is not about quota: about one aim, so that clients do not come in step.
@@ -773,7 +799,7 @@
       return out_.push_back(Refuse{e.request, {}});
     arrivals_.add(now_, kRateMemory);
     auto& r = requests_[e.request];
-    r.cls = e.request_class, r.plan = e.plan, r.customer = e.customer;
+    r.rules = rules_, r.cls = e.request_class, r.plan = e.plan, r.customer = e.customer;
     r.units = std::max(0.0, e.units);
     r.gateways = std::clamp(e.gateways, 1u, set_.fleet_size);
     r.lot = unit_random() + 1 - worth_part(r);
@@ -787,7 +813,7 @@
   // How long ago a client's first try came. A retry is given what is left of the class's deadline, counted
   // from the first try; one that is given a whole try's time tells nothing.
   Duration asked_before(const Arrival& e) {
-    auto& whole = at(whole_try_, e.request_class);
+    auto& whole = at(rules_->learned, e.request_class)->whole_try;
     const auto deadline = at(set_.classes, e.request_class).deadline;
     if (!e.is_retry) return whole = std::max(whole, std::min(e.time_left, deadline)), Duration{};
     if (std::chrono::abs(e.time_left - whole) < scaled(whole, kSameTime)) return Duration{};
@@ -860,7 +886,7 @@
   // No attempt is out and the client waits: another one where the class allows it, or the final answer.
   void further(RequestId id, Request& r) {
     const auto& c = cls(r);
-    bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
+    bool allowed = r.attempts.size() < r.rules->max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
     if (r.may_have_run && c.effect == Effect::keyed && now_ >= r.first_run + c.memory_span) allowed = false;
     if (too_late(r)) allowed = false;
@@ -974,14 +1000,13 @@
   void log(std::string text) { out_.push_back(Log{std::move(text)}); }
 
   Settings set_;
+  std::shared_ptr<const Rules> rules_;  // for requests that begin now
   std::mt19937_64 rng_;
   Time now_{};
   std::vector<Action> out_;
   LeaseBook book_;
   std::map<ServerId, Server> servers_;
-  std::set<ServerId> left_out_;      // by hand
-  std::vector<double> latency_;      // per class: EWMA of good answers, seconds; 0: none yet
-  std::vector<Duration> whole_try_;  // per class: the longest time that a first try has had
+  std::set<ServerId> left_out_;  // by hand
   std::unordered_map<RequestId, Request> requests_;
   std::deque<RequestId> parked_;
   Recent answers_, arrivals_;         // good answers of all servers; requests
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -95,8 +95,10 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
-ClientRequest read_request(Fields& f, const Settings& s, Time began) {
+ClientRequest read_request(Fields& f, std::shared_ptr<const Settings> settings, Time began) {
   ClientRequest r;
+  const auto& s = *settings;
+  r.settings = std::move(settings);
   const string_view target(f.target().data(), f.target().size());
   const auto path_class = first_part(target);
   if (std::ranges::find(s.classes, path_class, &RequestClass::name) == s.classes.end())
@@ -302,11 +304,11 @@
 
 // ---- The listener ---------------------------------------------------------------------------------------
 
-Clients::Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
-                 Owner& owner)
+Clients::Clients(asio::io_context& io, Timers& timers, std::shared_ptr<const Settings> settings,
+                 std::size_t most_sessions, Owner& owner)
     : io_(io),
       timers_(timers),
-      settings_(settings),
+      settings_(std::move(settings)),
       most_sessions_(most_sessions),
       owner_(owner),
       acceptor_(io.get_executor()) {}
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -24,6 +24,11 @@
   Time deadline{};
   http::verb method{};
   std::string target, id, key, content_type, body;
+  std::shared_ptr<const Settings> settings;  // that it was read under
+
+  const RequestClass& cls() const {
+    return settings->classes.at(static_cast<std::size_t>(arrival.request_class));
+  }
 };
 
 struct Answer {
@@ -90,10 +95,12 @@
     ~Owner() = default;
   };
 
-  Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
-          Owner& owner);
+  Clients(asio::io_context& io, Timers& timers, std::shared_ptr<const Settings> settings,
+          std::size_t most_sessions, Owner& owner);
 
   void listen(const Tcp::endpoint& at);
+  // Requests that come whole from now on are read under these.
+  void tune(std::shared_ptr<const Settings> settings) { settings_ = std::move(settings); }
   Tcp::endpoint listens_at() const { return acceptor_.local_endpoint(); }
   // From now on every answer ends its connection, and those without a request are closed.
   void drain();
@@ -111,7 +118,7 @@
 
   asio::io_context& io_;
   Timers& timers_;
-  const Settings& settings_;
+  std::shared_ptr<const Settings> settings_;
   std::size_t most_sessions_;
   Owner& owner_;
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -19,6 +19,7 @@
 inline constexpr Duration kWatchLine = 2s;        // an empty line comes so often while nothing changes
 inline constexpr Duration kDiscoveryTold = 6s;    // what discovery has to tell counts as told after this
 inline constexpr Duration kCounterIdle = 10s;     // a counter connection that stood idle so long is closed
+inline constexpr Duration kClassesTurn = 1200ms;  // after a new configuration clients use its classes
 inline constexpr Duration kNewAfterTerm = 600ms;  // new connections come for 400 ms after SIGTERM; and margin
 
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -24,13 +24,34 @@
   return *at;
 }
 
-NodeConfig read_config() {
+struct Configuration {
+  json file;
+  NodeConfig node;
+};
+
+// Every key that the file in force holds: one that is cut short or edited by mistake is not taken in part.
+void require_keys(const json& in_force, const json& next, const std::string& at) {
+  if (in_force.is_array()) {
+    if (!next.is_array() || in_force.empty() || !in_force.front().is_object()) return;
+    for (const auto& entry : next) require_keys(in_force.front(), entry, at);
+    return;
+  }
+  if (!in_force.is_object()) return;
+  object_of(next, at.c_str());
+  for (const auto& [key, value] : in_force.items()) {
+    if (!next.contains(key)) throw FieldError("field '" + key + "' is missing in '" + at + "'");
+    if (key != "known") require_keys(value, next.at(key), key);  // a list of its own time
+  }
+}
+
+Configuration read_config(const json* in_force = nullptr) {
   const auto path = variable("GW_CONFIG");
   std::ifstream file(path);
   if (!file) throw FieldError("variable GW_CONFIG: can't read " + path);
-  const auto config = json::parse(file, nullptr, false);
+  auto config = json::parse(file, nullptr, false);
   if (config.is_discarded()) throw FieldError("variable GW_CONFIG: " + path + " is not JSON");
   object_of(config, "config");
+  if (in_force != nullptr) require_keys(*in_force, config, "config");
   NodeConfig c;
   c.name = text(config, "name");
   c.listen = address(text(config, "listen"), "listen");
@@ -49,22 +70,24 @@
   else if (const char* named = std::getenv("GW_CONTROL"); named != nullptr && *named != '\0')
     c.control = address(named, "control");
   validate(c.named.settings);
-  return c;
+  return {std::move(config), std::move(c)};
 }
 
 // A new configuration that can't be read changes nothing.
-void reconfigure_on(asio::signal_set& signals, Node& node) {
-  signals.async_wait([&signals, &node](const error_code& failed, int) {
+void reconfigure_on(asio::signal_set& signals, Node& node, json& in_force) {
+  signals.async_wait([&](const error_code& failed, int) {
     if (failed) return;
     try {
-      node.reconfigure(read_config());
+      auto next = read_config(&in_force);
+      node.reconfigure(next.node);
+      in_force = std::move(next.file);
       node.reloaded(true);
       note("configuration read again");
     } catch (const std::exception& x) {
       node.reloaded(false);
       note(std::string("the configuration stays as it was: ") + x.what());
     }
-    reconfigure_on(signals, node);
+    reconfigure_on(signals, node, in_force);
   });
 }
 
@@ -86,13 +109,14 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
-    Node node(io, read_config());
+    auto config = read_config();
+    Node node(io, std::move(config.node));
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& failed, int) {
       if (!failed) node.drain([&io] { io.stop(); });
     });
     asio::signal_set hang_ups(io, SIGHUP);
-    reconfigure_on(hang_ups, node);
+    reconfigure_on(hang_ups, node, config.file);
     try {
       node.start();
     } catch (const boost::system::system_error& x) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,8 @@
                 for_peers(config_) - for_clients(config_), *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
-      clients_(io, timers_, config_.named.settings, for_clients(config_), *this),
+      clients_(io, timers_, std::make_shared<const Settings>(config_.named.settings), for_clients(config_),
+               *this),
       control_(io, timers_, *this) {
   for (const auto& c : config_.named.settings.classes) metrics_.replies(c.name);
   if (config_.counter && config_.named.settings.counter) counter_ = new_counter();
@@ -45,6 +46,14 @@
 }
 
 void Node::reconfigure(const NodeConfig& config) {
+  validate_change(config_.named.settings, config.named.settings);
+  for (const auto& c : config_.named.settings.classes) {
+    std::erase_if(leaving_, [&](const auto& l) { return l.cls.name == c.name; });
+    leaving_.push_back({c, timers_.now() + facts::kClassesTurn + c.deadline});
+  }
+  config_.named.settings = config.named.settings;
+  config_.keep_alive = config.keep_alive;
+  tune();
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
     discovery_.move(config.discovery, config.discovery_host);
@@ -56,6 +65,29 @@
   timers_.after(config_.named.settings.counter_timeout, [this] { left_.pop_front(); });
 }
 
+// The settings of the file, and the dropped classes that clients may still use: requests of these come until
+// clients have turned to the new ones, and their further tries for a class's deadline after that.
+void Node::tune() {
+  auto settings = std::make_shared<Settings>(config_.named.settings);
+  auto& classes = settings->classes;
+  const Time now = timers_.now();
+  std::erase_if(leaving_, [&](const auto& l) {
+    return l.until <= now || std::ranges::find(classes, l.cls.name, &RequestClass::name) != classes.end();
+  });
+  Time next = Time::max();
+  for (const auto& l : leaving_) classes.push_back(l.cls), next = std::min(next, l.until);
+  for (const auto& c : classes) metrics_.replies(c.name);
+  upstream_.tune(settings->connect_timeout, config_.keep_alive);
+  clients_.tune(settings);
+  happened(Retune{std::move(settings)});
+  timers_.cancel(turn_);
+  if (next == Time::max()) return;
+  turn_ = timers_.at(next, [this] {
+    turn_.reset();
+    tune();
+  });
+}
+
 void Node::drain(std::function<void()> done) {
   drained_ = std::move(done);
   clients_.drain();
@@ -68,10 +100,6 @@
 }
 
 // Once ready, always ready: a counter that has moved is tried while requests come in.
-const RequestClass& Node::at_class(ClassIndex c) const {
-  return config_.named.settings.classes.at(static_cast<std::size_t>(c));
-}
-
 bool Node::ready() {
   was_ready_ = was_ready_ || (knows_servers_ && (!counter_ || counter_->tried()));
   return was_ready_;
@@ -100,7 +128,7 @@
   const RequestId id{++requests_};
   request.arrival.request = id;
   const Arrival arrival = request.arrival;
-  auto& counts = metrics_.replies(at_class(request.arrival.request_class).name);
+  auto& counts = metrics_.replies(request.cls().name);
   open_.emplace(
       id, Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), &counts, 0, 0});
   ++concurrent_;
@@ -182,7 +210,9 @@
 }
 
 void Node::carry_out(const Refuse& s) {
-  const auto advice = config_.named.settings.retry_after ? s.retry_after : Duration{};
+  const auto it = open_.find(s.request);
+  if (it == open_.end()) return;
+  const auto advice = it->second.message->settings->retry_after ? s.retry_after : Duration{};
   finish(s.request, &Metrics::Replies::overload,
          {http::status::too_many_requests, "refused\n", "text/plain", advice});
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -38,7 +38,8 @@
   Node(asio::io_context& io, NodeConfig config);
 
   void start();
-  // Goes on with discovery and the counter where a new configuration says that they are. All else stays.
+  // Goes on with the settings of a new configuration, and with discovery and the counter where it says that
+  // they are. Throws, and changes nothing, if it has what can't change while the node runs.
   void reconfigure(const NodeConfig& config);
   // Takes no new sessions for long and calls `done` when nothing is open any more.
   void drain(std::function<void()> done);
@@ -69,7 +70,7 @@
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
-  const RequestClass& at_class(ClassIndex c) const;
+  void tune();
   void carry_out(const Send& s);
   void carry_out(const Refuse& s);
   void carry_out(const Fail& s);
@@ -86,6 +87,12 @@
 
   asio::io_context& io_;
   NodeConfig config_;
+  struct Leaving {  // a class that was dropped, while clients may still use it
+    RequestClass cls;
+    Time until{};
+  };
+  std::vector<Leaving> leaving_;
+  Timers::Handle turn_;  // the next of them goes
   Clock clock_;
   Timers timers_;
   Gateway gateway_;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -195,6 +195,11 @@
   timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
+void Upstream::tune(Duration connect_timeout, Duration keep_alive) {
+  connect_timeout_ = connect_timeout;
+  keep_alive_ = keep_alive;
+}
+
 void Upstream::update(ServerId server, const Tcp::endpoint& address, bool takes_work) {
   auto& p = pools_[server];
   const bool moved = p.address != address;
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -78,6 +78,7 @@
   Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
            std::size_t most_connections, Owner& owner);
 
+  void tune(Duration connect_timeout, Duration keep_alive);
   // What discovery says of a server. One that takes nothing new loses its idle connections.
   void update(ServerId server, const Tcp::endpoint& address, bool takes_work);
   // A whole list: a server that it does not hold is gone.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -54,4 +54,17 @@
   }
 }
 
+void validate_change(const Settings& from, const Settings& to) {
+  validate(to);
+  const auto same = [](bool equal, const char* field) {
+    require(equal, std::string(field) + " can't change while the node runs");
+  };
+  same(from.fleet_size == to.fleet_size && from.index == to.index, "fleet_size or index");
+  same(from.zone == to.zone, "zone");
+  same(from.counter == to.counter && from.counter_timeout == to.counter_timeout,
+       "counter or counter_timeout");
+  same(from.settled_after == to.settled_after, "settled_after");
+  same(from.plans == to.plans, "plans");
+}
+
 }  // namespace snowknot
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -861,6 +861,38 @@
   EXPECT_LE(there, 14);  // cold: less than its half
 }
 
+// Open requests keep the rules they began under, and what was learned goes on under a class's name.
+TEST(Retuning, OpenRequestsKeepTheirRulesAndNewOnesHaveTheNew) {
+  Host h;
+  h.servers(3);
+  const auto before = h.ask_granted(1, 0);
+  ASSERT_TRUE(before);
+  auto next = std::make_shared<Settings>(settings());
+  next->classes = {next->classes[2], next->classes[0]};  // the unsafe class is the first now
+  next->classes[1].name = "other";
+  next->max_attempts = 1;
+  h.give(Retune{next});
+  h.outcome(*before, Outcome::reset);
+  EXPECT_TRUE(h.has<Send>());  // safe to repeat, with attempts left
+  const auto unsafe = h.ask_granted(1, 0);
+  ASSERT_TRUE(unsafe);
+  h.outcome(*unsafe, Outcome::reset);
+  EXPECT_TRUE(h.has<Fail>());
+  const auto safe = h.ask_granted(1, 1);
+  ASSERT_TRUE(safe);
+  h.outcome(*safe, Outcome::full);
+  EXPECT_FALSE(h.has<Send>());  // one attempt
+  EXPECT_TRUE(h.has<Refuse>());
+}
+TEST(Retuning, WhatAllGatewaysDeriveWindowsFromCannotChange) {
+  auto next = settings();
+  next.plans[1].ceiling_rate = 17;
+  EXPECT_THROW(validate_change(settings(), next), std::invalid_argument);
+  next = settings();
+  next.classes.pop_back(), next.max_attempts = 1;
+  EXPECT_NO_THROW(validate_change(settings(), next));
+}
+
 TEST(Events, UnknownAndStaleIdsDoNothing) {
   Host h;
   h.servers(1);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -28,6 +28,7 @@
               {"discovery", agent.text()},
               {"counter", counter.text()},
               {"seed", "8c1f30d27a5be964"},
+              {"peers_all", "127.0.0.1:1"},
               {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
               {"known",
                {{"revision", 1},
@@ -176,6 +177,74 @@
   w->send(ask());
   EXPECT_TRUE(served(w));
 }
+// ---- Retuning -----------------------------------------------------------------------------------------------
+
+struct Retuning : ProcessTest {
+  static json other_class() {
+    auto c = facts()["grades"][0];
+    c["name"] = "write", c["idempotency"] = "unsafe";
+    return c;
+  }
+  void hang_up(const std::string& file, const char* line) {
+    std::ofstream(dir / "config.json") << file;
+    kill(child, SIGHUP);
+    ASSERT_TRUE(loop.until([&] { return log().find(line) != std::string::npos; })) << log();
+  }
+  int asked(const std::string& method, const std::string& cls) {
+    const auto w = loop.connect(listen);
+    w->send(method + " /" + cls +
+            " HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: a1\r\nX-Priority-Class: " + cls +
+            "\r\nX-Plan: p\r\nCookie: client=0000000000000007\r\nX-Timeout-Ms: 2000\r\nX-Quota: "
+            "units=1,spread=2,first=0\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos; }));
+    return std::stoi(w->in.substr(9, 3));
+  }
+};
+// A new class is served under its own rules; the dropped one while clients may still use it, and then no more.
+TEST_F(Retuning, ClassesAreAddedAndDropped) {
+  run();
+  ASSERT_TRUE(up());
+  EXPECT_EQ(asked("POST", "write"), 404);
+  config["settings"]["grades"][0]["hard-limit-ns"] = 1000000;  // so that its last tries come soon
+  hang_up(config.dump(), "read again\n");
+  config["settings"]["grades"] = json::array({other_class()});
+  hang_up(config.dump(), "read again\nconfiguration read again\n");
+  EXPECT_EQ(asked("POST", "write"), 200);
+  EXPECT_EQ(asked("GET", "write"), 405);
+  EXPECT_EQ(asked("GET", "read"), 200);
+  EXPECT_TRUE(loop.until([&] { return asked("GET", "read") == 404; }));
+}
+TEST_F(Retuning, ABadFileIsTurnedDownWhole) {
+  run();
+  ASSERT_TRUE(up());
+  const auto whole = config.dump();
+  std::vector<std::string> bad{"", whole.substr(0, whole.size() / 2)};
+  const auto with = [&](const std::function<void(json&)>& change) {
+    auto c = config;
+    c["settings"]["grades"].push_back(other_class());
+    change(c);
+    bad.push_back(c.dump());
+  };
+  with([](json& c) { c.erase("peers_all"); });
+  with([](json& c) { c["settings"]["ceilings"].erase("max-attempts"); });
+  with([](json& c) { c["settings"].erase("later-key"); });
+  with([](json& c) { c["settings"]["grades"][1].erase("gain"); });
+  with([](json& c) { c["settings"]["grades"][1]["hard-limit-ns"] = "soon"; });
+  with([](json& c) { c["settings"]["grades"][0]["hard-limit-ns"] = 0; });
+  with([](json& c) { c["settings"]["ceilings"]["max-attempts"] = 0; });
+  with([](json& c) { c["settings"]["ceilings"]["max-attempts"] = -1; });
+  with([](json& c) { c["settings"]["packages"][0]["units-per-s"] = 5; });
+  std::string lines;
+  for (const auto& file : bad) {
+    std::ofstream(dir / "config.json") << file;
+    const auto before = std::ranges::count(log(), '\n');
+    kill(child, SIGHUP);
+    ASSERT_TRUE(loop.until([&] { return std::ranges::count(log(), '\n') > before; })) << file;
+    EXPECT_EQ(log().find("read again"), std::string::npos) << file;
+    EXPECT_EQ(asked("POST", "write"), 404) << file;
+  }
+  EXPECT_EQ(asked("GET", "read"), 200);
+}
 // More connections than the process has descriptors for, against what it was told: it goes on serving.
 TEST_F(ProcessTest, SurvivesALackOfDescriptors) {
   run(40);
