Hand the listening socket and the state to a new version under load

Tests: two real processes with a request out, kept connections, connections opened throughout, servers out by hand on both sides, a successor that dies, a stale socket, predecessors of no use; units held once, places and cold servers.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -199,8 +199,40 @@
   std::shared_ptr<const Settings> settings;
 };
 
+// What a gateway leaves to the one that takes its place in a running fleet. Units pass on: what is in here is
+// held by nobody else any more.
+struct Succession {
+  struct Units {
+    std::int64_t window = 0;
+    double held = 0, added = 0, owed = 0;
+    Time answered_at = Time::min();
+    bool credit = false, empty = false;
+  };
+  struct Lease {
+    CustomerId customer{};
+    PlanIndex plan{};
+    Units now;
+    std::vector<Units> ahead;
+    double asked = 0, pace = 0, tries = 0, over = 0, elsewhere = -1;
+    Time tried_at{}, called_at{};
+    std::vector<Time> places;  // of the open cap that are taken, each likely free by then
+  };
+  std::vector<Lease> leases;
+  std::vector<ServerId> left_out;
+  std::vector<std::pair<ServerId, Time>> cold;            // and since when
+  std::vector<std::pair<std::string, double>> latencies;  // by class, in seconds
+  std::vector<double> quickest_calls;
+  double call_rate = 0, bound = 0, answers = 0, arrivals = 0;
+  Time at{}, lost_at = Time::min();
+};
+
+// For a new gateway: it goes on where another one has left off.
+struct TakeOver {
+  std::shared_ptr<const Succession> from;
+};
+
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage, LeaveOut, Retune>;
+                           CountAnswer, PeerMessage, LeaveOut, Retune, TakeOver>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
@@ -268,6 +300,9 @@
   std::vector<Action> handle(Time now, const Event& event);
   TableSizes sizes() const;
   ServerCounts servers(Time now) const;
+  // What its successor needs. It goes on, for requests that still come here, with nothing held.
+  Succession hand_over(Time now);
+  void resume();  // the successor has ended
 
  private:
   class Logic;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,6 +62,7 @@
 constexpr double kRetryEarn = 0.1;   // further attempts earned per request: keeps retries under a tenth
 constexpr double kRetryMost = 10;    // and how many can be saved up
 constexpr double kPatience = 10;     // expected latencies before an attempt counts as stuck
+constexpr double kPlaceSpan = 2;     // expected latencies until a place of a gateway that left is likely free
 constexpr double kZoneWeight = 20;   // how strongly the price of crossing zones weighs in the choice
 constexpr Duration kLogGap = 10s;    // a server that comes and goes is told of once in so long
 constexpr Duration kSweep = 250ms;   // period of the housekeeping
@@ -194,11 +195,15 @@
     if (since != Time{}) saved = std::min(most(), saved + rate * seconds(now - since));
   }
 
-  void learn(Time now, CountOutcome o, Duration took) {
-    const bool ok = o == CountOutcome::ok;
-    if (ok) quickest.insert(std::max(seconds(took), 1e-5));
+  void learn_quickest(double took) {
+    quickest.insert(std::max(took, 1e-5));
     if (quickest.size() > kQuickest) quickest.erase(std::prev(quickest.end()));
     if (quickest.size() == kQuickest) fastest = *quickest.rbegin();
+  }
+
+  void learn(Time now, CountOutcome o, Duration took) {
+    const bool ok = o == CountOutcome::ok;
+    if (ok) learn_quickest(seconds(took));
     if (ok && down()) rate = std::max(rate, fair());
     strikes = ok ? 0 : strikes + 1;
     if (strikes == kCounterStrikes) down_since = now;
@@ -349,7 +354,69 @@
     return n;
   }
 
+  // ---- 7 Succession (below: TakeOver). Invariant: units are held by one of the two alone. What the one that
+  // leaves still needs it leases anew, no more than it spends.
+  Succession hand_over(Time now) {
+    now_ = now, leaves_ = true;
+    Succession s;
+    s.at = now, s.lost_at = book_.lost_at, s.bound = bound_, s.call_rate = book_.pace.rate;
+    s.answers = answers_.count(now, kRateMemory), s.arrivals = arrivals_.count(now, kRateMemory);
+    s.quickest_calls.assign(book_.pace.quickest.begin(), book_.pace.quickest.end());
+    s.left_out.assign(left_out_.begin(), left_out_.end());
+    for (const auto& [id, server] : servers_)
+      if (is_cold(server)) s.cold.emplace_back(id, server.cold_since);
+    for (std::size_t i = 0; i < rules_->classes.size(); ++i)
+      s.latencies.emplace_back(rules_->classes[i].name, rules_->learned[i]->latency);
+    std::map<CustomerId, std::vector<Time>> places;
+    for (const auto& [id, r] : requests_)
+      if (r.holds_place)
+        places[r.customer].push_back(std::min(r.deadline, now + from_seconds(kPlaceSpan * expected(r))));
+    for (auto& [customer, l] : book_.leases) {
+      if (at(book_.terms, l.plan).metered) book_.roll(now, customer, l);
+      Succession::Lease left{customer,    l.plan,      passed_on(l.window, l.now),
+                             {},          l.asked,     l.pace,
+                             l.tries.sum, l.over,      l.elsewhere,
+                             l.tries.at,  l.called_at, std::move(places[customer])};
+      for (auto& [window, units] : std::exchange(l.ahead, {})) left.ahead.push_back(passed_on(window, units));
+      s.leases.push_back(std::move(left));
+    }
+    return s;
+  }
+
+  void resume() { leaves_ = false; }
+
  private:
+  static Succession::Units passed_on(std::int64_t window, Units& u) {
+    return {window, std::exchange(u.held, 0), u.added, std::exchange(u.owed, 0), u.answered_at, u.credit,
+            u.empty};
+  }
+  static Units taken_on(const Succession::Units& u) {
+    return {u.held, u.added, u.owed, u.answered_at, u.credit, u.empty};
+  }
+
+  void on(const TakeOver& e) {
+    const auto& s = *e.from;
+    book_.lost_at = std::max(book_.lost_at, s.lost_at), bound_ = s.bound;
+    book_.pace.rate = std::max(s.call_rate, kCallLeast * book_.pace.fair());
+    for (const auto took : s.quickest_calls) book_.pace.learn_quickest(took);
+    answers_ = {s.answers, s.at}, arrivals_ = {s.arrivals, s.at};
+    for (const auto& [id, since] : s.cold)
+      if (auto* server = find(servers_, id)) start_cold(*server, since);
+    for (const auto id : s.left_out) left_out_.insert(id);
+    for (const auto& [name, latency] : s.latencies)
+      for (std::size_t i = 0; i < rules_->classes.size(); ++i)
+        if (rules_->classes[i].name == name) rules_->learned[i]->latency = latency;
+    for (const auto& left : s.leases) {
+      if (static_cast<std::size_t>(left.plan) >= set_.plans.size()) continue;
+      auto& l = book_.leases[left.customer];
+      l.plan = left.plan, l.window = left.now.window, l.now = taken_on(left.now);
+      for (const auto& u : left.ahead) l.ahead[u.window] = taken_on(u);
+      l.asked = left.asked, l.pace = left.pace, l.tries = {left.tries, left.tried_at};
+      l.over = left.over, l.elsewhere = left.elsewhere, l.called_at = left.called_at;
+      for (const auto free_at : left.places) ++l.open, places_left_.emplace(free_at, left.customer);
+    }
+  }
+
   void take_settings() {
     auto rules = std::make_shared<Rules>();
     rules->classes = set_.classes, rules->max_attempts = set_.max_attempts;
@@ -488,6 +555,7 @@
     double few = std::min(kQuantumRequests * largest, t.limit / (2.0 * gateways));
     if (pace.short_of_calls())
       few = std::max(few, std::min(l.pace, t.limit / gateways));  // fewer calls, each for a window's pace
+    if (leaves_) few = 0;
     few = std::floor(few / largest) * largest;  // a part of a request would lie here unspent
     const double quantum = std::min(std::max({few, wanted - l.now.held, largest}), t.limit);
     const double extra = speaks ? std::min(std::exchange(at(book_.on_credit, l.plan), 0.0), t.limit) : 0;
@@ -524,7 +592,7 @@
   // spent.
   void lease_ahead(const Request& r, Lease& l) {
     const auto& t = terms(r);
-    if (t.ceiling || !set_.counter || book_.pace.strikes > 0 || l.pace < kAheadPace * r.units ||
+    if (leaves_ || t.ceiling || !set_.counter || book_.pace.strikes > 0 || l.pace < kAheadPace * r.units ||
         r.units * r.gateways > t.limit || !book_.pace.spare())
       return;
     const double most = std::max(std::floor(t.limit / (2.0 * r.gateways)), r.units);
@@ -968,6 +1036,9 @@
   // Drops leases of past windows, so that customers seen once do not accumulate, and probes lost servers.
   void sweep() {
     next_sweep_ = now_ + kSweep;
+    for (; !places_left_.empty() && places_left_.begin()->first <= now_;
+         places_left_.erase(places_left_.begin()))
+      if (auto* l = find(book_.leases, places_left_.begin()->second); l && l->open > 0) --l->open;
     for (auto it = book_.leases.begin(); it != book_.leases.end();) {
       auto& l = it->second;
       const auto& t = at(book_.terms, l.plan);
@@ -1006,7 +1077,9 @@
   std::vector<Action> out_;
   LeaseBook book_;
   std::map<ServerId, Server> servers_;
-  std::set<ServerId> left_out_;  // by hand
+  std::multimap<Time, CustomerId> places_left_;  // taken by a predecessor's requests, until likely free
+  bool leaves_ = false;                          // a successor has taken over
+  std::set<ServerId> left_out_;                  // by hand
   std::unordered_map<RequestId, Request> requests_;
   std::deque<RequestId> parked_;
   Recent answers_, arrivals_;         // good answers of all servers; requests
@@ -1027,5 +1100,7 @@
 std::vector<Action> Gateway::handle(Time now, const Event& event) { return logic_->handle(now, event); }
 TableSizes Gateway::sizes() const { return logic_->sizes(); }
 ServerCounts Gateway::servers(Time now) const { return logic_->servers(now); }
+Succession Gateway::hand_over(Time now) { return logic_->hand_over(now); }
+void Gateway::resume() { logic_->resume(); }
 
 }  // namespace snowknot
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -245,7 +245,7 @@
 
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
-  if (clients_.draining_) keep_alive_ = false;
+  if (clients_.draining_ || clients_.retired_) keep_alive_ = false;
   response_ = {};
   response_.result(answer.status);
   response_.version(11);
@@ -314,15 +314,39 @@
       acceptor_(io.get_executor()) {}
 
 void Clients::listen(const Tcp::endpoint& at) {
+  if (acceptor_.is_open()) acceptor_.close();
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
+  // So that a new version can start even where its predecessor hands nothing over.
+  acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
   acceptor_.bind(at);
   acceptor_.listen(asio::socket_base::max_listen_connections);
+  begin();
+}
+
+void Clients::adopt(int listening) {
+  acceptor_.assign(Tcp::v4(), listening);
+  begin();
+}
+
+void Clients::begin() {
   accept();
   timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
 
+void Clients::retire() {
+  retired_ = true;
+  error_code ignored;
+  acceptor_.cancel(ignored);  // the socket stays open: the queue is shared
+}
+
+void Clients::resume() {
+  retired_ = false;
+  accept();
+}
+
 void Clients::accept() {
+  if (retired_) return;
   if (sessions_.size() >= most_sessions_) make_room();
   accepts_ = sessions_.size() < most_sessions_;
   if (!accepts_) return;  // goes on when a session ends
@@ -364,7 +388,8 @@
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all) {
     s->sweep(now);
-    if (draining_ && s->idle() && now - s->since() > facts::kNewAfterTerm) s->close();
+    const auto idle = retired_ ? facts::kHandedOverIdle : facts::kNewAfterTerm;
+    if ((draining_ || retired_) && s->idle() && now - s->since() > idle) s->close();
   }
   timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
@@ -372,6 +397,7 @@
 void Clients::drain() {
   draining_ = true;
   last_accept_ = timers_.now();
+  if (retired_) return;  // they are told with their next answers
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all)
     if (s->idle()) s->close();
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -99,18 +99,27 @@
           std::size_t most_sessions, Owner& owner);
 
   void listen(const Tcp::endpoint& at);
+  // The same on a socket that listens already.
+  void adopt(int listening);
+  int listener() { return acceptor_.native_handle(); }
+  // A successor accepts from now on: each connection that is kept ends with its next answer. Or it does so no
+  // more, and this process goes on.
+  void retire();
+  void resume();
   // Requests that come whole from now on are read under these.
   void tune(std::shared_ptr<const Settings> settings) { settings_ = std::move(settings); }
   Tcp::endpoint listens_at() const { return acceptor_.local_endpoint(); }
   // From now on every answer ends its connection, and those without a request are closed.
   void drain();
   bool drained() const;
+  void limit(std::size_t most_sessions) { most_sessions_ = most_sessions; }
   std::size_t size() const { return sessions_.size(); }
 
  private:
   friend class ClientSession;
   using Sessions = std::unordered_set<std::shared_ptr<ClientSession>>;
 
+  void begin();
   void accept();
   void make_room();
   void sweep();
@@ -124,6 +133,7 @@
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
   Sessions sessions_;
   bool draining_ = false;
+  bool retired_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
   Time last_accept_{};
 };
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -42,9 +42,11 @@
   std::uint64_t revision() const { return revision_; }
   // The server that some list has named so.
   std::optional<ServerId> known_as(const std::string& id) const;
+  // The number of a server, given on first sight, and the name behind a number that was given.
+  ServerId number_of(const std::string& id);
+  const std::string& name_of(ServerId server) const { return ids_.at(server); }
 
  private:
-  ServerId number_of(const std::string& id);
   ZoneIndex zone_of(const std::string& name);
   std::optional<Entry> entry(const nlohmann::json& e);
   bool take(const nlohmann::json& list, bool cached);
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -36,7 +36,10 @@
     kSweepClients = 250ms;                      // and sessions: what is left of the 3 s for one that is slow
 inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
 inline constexpr std::size_t kControlCallers = 16;  // that are connected at once; more make the oldest go
-inline constexpr Duration kControlCall = 1s;  // for an operator's whole call to come, and its answer to go
+inline constexpr Duration kControlCall = 1s;     // for an operator's whole call to come, and its answer to go
+inline constexpr int kHandoverForm = 1;          // of what passes between two processes of a node
+inline constexpr Duration kHandoverLimit = 2s;   // for a predecessor to answer: a new process has 6 s in all
+inline constexpr Duration kHandedOverIdle = 2s;  // a kept connection may be closed after this: TERMS
 inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
 inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
 inline constexpr std::size_t kMostList = 16UL << 20U;  // bytes of one line of the watch
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -69,6 +69,8 @@
     c.control = address(text_of(*at, "control"), "control");
   else if (const char* named = std::getenv("GW_CONTROL"); named != nullptr && *named != '\0')
     c.control = address(named, "control");
+  if (const char* folder = std::getenv("TMPDIR"); folder != nullptr && *folder != '\0')
+    c.handover = std::string(folder) + "/docklift-" + text(config, "listen") + ".sock";
   validate(c.named.settings);
   return {std::move(config), std::move(c)};
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,6 +15,7 @@
   return std::max<std::size_t>(
       1, static_cast<std::size_t>(facts::kClientShare * static_cast<double>(for_peers(c))));
 }
+std::size_t for_servers(const NodeConfig& c) { return for_peers(c) - for_clients(c); }
 
 }  // namespace
 
@@ -23,13 +24,14 @@
       config_(std::move(config)),
       timers_(io, clock_),
       gateway_(config_.named.settings, config_.seed),
-      upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive,
-                for_peers(config_) - for_clients(config_), *this),
+      upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive, for_servers(config_),
+                *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
       clients_(io, timers_, std::make_shared<const Settings>(config_.named.settings), for_clients(config_),
                *this),
-      control_(io, timers_, *this) {
+      control_(io, timers_, *this),
+      handover_(io, timers_, config_.handover, *this) {
   for (const auto& c : config_.named.settings.classes) metrics_.replies(c.name);
   if (config_.counter && config_.named.settings.counter) counter_ = new_counter();
 }
@@ -42,7 +44,100 @@
 void Node::start() {
   discovery_.start(config_.known);
   if (config_.control) control_.listen(*config_.control);
-  clients_.listen(config_.listen);
+  if (!handover_.seek()) serve();
+}
+
+// ---- From one process to the next -----------------------------------------------------------------------------
+
+void Node::serve() {
+  if (inherited_) {
+    clients_.adopt(inherited_.release());
+  } else {
+    clients_.listen(config_.listen);
+  }
+  serves_ = true;
+  handover_.offer();
+}
+
+// With what was handed over, if anything; a predecessor that hands nothing over may hold the address yet.
+void Node::serve_in_any_case() {
+  try {
+    serve();
+  } catch (const std::exception& x) {
+    note(std::string("field 'listen': ") + x.what());
+    timers_.after(facts::kLongestBackoff, [this] { serve_in_any_case(); });
+  }
+}
+
+void Node::listener_came(Descriptor socket) {
+  inherited_ = std::move(socket);
+  ask_when_ready();
+}
+
+void Node::ask_when_ready() {
+  if (serves_) return;
+  if (ready()) return handover_.ask_state();
+  timers_.after(facts::kAcceptPause, [this] { ask_when_ready(); });
+}
+
+nlohmann::json Node::leave_state() {
+  const auto s = gateway_.hand_over(timers_.now());
+  auto state = to_json(s);
+  state["left_out"] = nlohmann::json::array();
+  for (const auto id : s.left_out) state["left_out"].push_back(discovery_.name_of(id));
+  state["cold"] = nlohmann::json::array();
+  for (const auto& [id, since] : s.cold)
+    state["cold"].push_back({discovery_.name_of(id), since.time_since_epoch().count()});
+  succeeded_ = true;
+  clients_.retire();
+  upstream_.keep(false);
+  state["sessions"] = clients_.size(), state["connections"] = upstream_.size();
+  note("a successor takes over");
+  return state;
+}
+
+void Node::state_came(const nlohmann::json& state) {
+  if (serves_) return;
+  auto s = std::make_shared<Succession>(succession_of(state));
+  for (const auto& e : state.at("cold"))
+    s->cold.emplace_back(discovery_.number_of(e.at(0)), Time(Duration(e.at(1).get<Duration::rep>())));
+  for (const auto& name : state.at("left_out")) {
+    const auto id = discovery_.number_of(name);
+    s->left_out.push_back(id);
+    upstream_.bar(id, true);
+  }
+  happened(TakeOver{std::move(s)});
+  // Both count as one until the other has gone.
+  const auto less = [](std::size_t all, std::size_t taken) {
+    return std::max(all / 2, all - std::min(all, taken));
+  };
+  clients_.limit(less(for_clients(config_), state.at("sessions")));
+  upstream_.limit(less(for_servers(config_), state.at("connections")));
+  note("taken over from a predecessor");
+  serve();
+}
+
+void Node::told_by_peer(const nlohmann::json& message) {
+  if (const auto it = message.find("leave_out"); it != message.end()) return void(set_out(*it, true));
+  if (const auto it = message.find("put_back"); it != message.end()) return void(set_out(*it, false));
+  throw std::runtime_error("a message that is not known");
+}
+
+// Before this process serves: it starts as one that found nobody. After: the other one has ended. If that one
+// had taken over, and this process was not told to end, the clients are its own again.
+void Node::peer_lost() {
+  clients_.limit(for_clients(config_));
+  upstream_.limit(for_servers(config_));
+  if (!serves_) {
+    note("the predecessor hands nothing over");
+    return serve_in_any_case();
+  }
+  if (!std::exchange(succeeded_, false) || drained_) return;
+  note("the successor has ended: clients are served here again");
+  upstream_.keep(true);
+  gateway_.resume();
+  clients_.resume();
+  handover_.offer();
 }
 
 void Node::reconfigure(const NodeConfig& config) {
@@ -190,6 +285,12 @@
 }
 
 bool Node::leave_out(const std::string& server, bool out) {
+  if (!set_out(server, out)) return false;
+  handover_.tell({{out ? "leave_out" : "put_back", server}});
+  return true;
+}
+
+bool Node::set_out(const std::string& server, bool out) {
   const auto id = discovery_.known_as(server);
   if (!id) return false;
   note("server " + server + (out ? " is left out by hand" : " may serve again"));
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -13,6 +13,7 @@
 #include "control.hpp"
 #include "counter.hpp"
 #include "discovery.hpp"
+#include "handover.hpp"
 #include "metrics.hpp"
 #include "net.hpp"
 #include "settings_reader.hpp"
@@ -29,11 +30,15 @@
   std::size_t descriptors = 0;
   std::uint64_t seed = 0;
   Duration keep_alive{};
+  std::string handover;  // the path of the socket on which a successor calls; empty: none can
   nlohmann::json known;
   reading::NamedSettings named;
 };
 
-class Node : private Clients::Owner, private Upstream::Owner, private Control::Owner {
+class Node : private Clients::Owner,
+             private Upstream::Owner,
+             private Control::Owner,
+             private Handover::Owner {
  public:
   Node(asio::io_context& io, NodeConfig config);
 
@@ -64,9 +69,15 @@
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
   void attempt_written(const Errand& errand) override;
   void probe_ended(const Errand& errand, Outcome outcome) override;
-  bool serves() override { return ready(); }
+  bool serves() override { return serves_ && !drained_ && ready(); }
   std::string figures() override;
   bool leave_out(const std::string& server, bool out) override;
+  int listener() override { return clients_.listener(); }
+  nlohmann::json leave_state() override;
+  void listener_came(Descriptor socket) override;
+  void state_came(const nlohmann::json& state) override;
+  void told_by_peer(const nlohmann::json& message) override;
+  void peer_lost() override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
@@ -82,6 +93,10 @@
   void carry_out(const Log& s);
   void finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer);
   void forget_if_done(RequestId request);
+  bool set_out(const std::string& server, bool out);
+  void ask_when_ready();
+  void serve();
+  void serve_in_any_case();
   void wait_until_drained();
   std::unique_ptr<Counter> new_counter();
 
@@ -111,6 +126,10 @@
   Discovery discovery_;
   Clients clients_;
   Control control_;
+  Handover handover_;
+  Descriptor inherited_;    // the listening socket, until this process serves
+  bool serves_ = false;     // clients' connections are accepted here
+  bool succeeded_ = false;  // a successor accepts them
 };
 
 }  // namespace snowknot
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -276,7 +276,13 @@
   auto& p = pools_.at(c->server());
   std::erase(p.busy, c);
   p.idle.push_back(c);
-  if (!takes_work(c->server(), p)) drop_idle(c->server());
+  if (!keeps_ || !takes_work(c->server(), p)) drop_idle(c->server());
+}
+
+void Upstream::keep(bool kept) {
+  keeps_ = kept;
+  if (kept) return;
+  for (const auto& [id, p] : pools_) drop_idle(id);
 }
 
 void Upstream::forget(const Connection& c) {
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -91,6 +91,9 @@
   void probe(ServerId server);
   void cancel(RequestId request, std::uint32_t attempt);
   std::size_t size() const { return connections_; }
+  void limit(std::size_t most_connections) { most_connections_ = most_connections; }
+  // Whether connections are kept for further attempts.
+  void keep(bool kept);
 
  private:
   friend class ServerConnection;
@@ -116,6 +119,7 @@
   Timers& timers_;
   Duration connect_timeout_, keep_alive_;
   std::size_t most_connections_, connections_ = 0;
+  bool keeps_ = true;
   Owner& owner_;
   std::unordered_map<ServerId, Pool> pools_;
   std::unordered_set<ServerId> barred_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -893,6 +893,57 @@
   EXPECT_NO_THROW(validate_change(settings(), next));
 }
 
+// ---- Succession -----------------------------------------------------------------------------------------------
+
+// Units pass on once, with what is owed: neither of the two spends what the other holds.
+TEST(Succession, UnitsPassOnAndAreHeldOnce) {
+  Host before;
+  before.servers(2);
+  ASSERT_TRUE(before.ask_granted(1));
+  before.ask(1);
+  EXPECT_TRUE(before.has<Send>());  // from the quantum that is held
+  const auto left = std::make_shared<snowknot::Succession>(before.gateway.hand_over(before.now));
+  ASSERT_EQ(left->leases.size(), 1u);
+  EXPECT_GT(left->leases[0].now.held, 0);
+  before.ask(1);
+  EXPECT_FALSE(before.has<Send>());
+  EXPECT_TRUE(before.has<AddToCount>());
+  Host after;
+  after.now = before.now;
+  after.servers(2);
+  after.give(TakeOver{left});
+  after.ask(1);
+  EXPECT_TRUE(after.has<Send>());
+  EXPECT_FALSE(after.has<AddToCount>());
+}
+TEST(Succession, ServersOutAndColdOnesAndOpenPlacesPassOn) {
+  auto s = settings();
+  s.plans[0].max_open = 4;  // two for each of two gateways
+  Host before(s);
+  before.servers(2);
+  before.give(LeaveOut{ServerId{1}, true});
+  ASSERT_TRUE(before.ask_granted(1));
+  std::size_t taken = 1;
+  for (; taken < 10; ++taken) {
+    before.ask(1);
+    if (before.has<Refuse>()) break;
+  }
+  const auto left = std::make_shared<snowknot::Succession>(before.gateway.hand_over(before.now));
+  EXPECT_EQ(left->left_out, std::vector{ServerId{1}});
+  ASSERT_EQ(left->leases[0].places.size(), taken);
+  Host after(s);
+  after.now = before.now;
+  after.servers(2);
+  after.give(TakeOver{left});
+  after.ask(1);
+  EXPECT_TRUE(after.has<Refuse>());  // all places are taken
+  after.now += 900ms;                // longer than answers take
+  after.give(TimerDue{});
+  const auto sent = after.ask_granted(1);
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(sent->server, ServerId{2});
+}
+
 TEST(Events, UnknownAndStaleIdsDoNothing) {
   Host h;
   h.servers(1);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/local/stream_protocol.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -52,6 +53,7 @@
     std::ofstream(dir / "config.json") << config;
     child = fork();
     if (child != 0) return;
+    setenv("TMPDIR", dir.c_str(), 1);
     const rlimit limit{descriptors, descriptors};
     setrlimit(RLIMIT_NOFILE, &limit);
     for (int fd = 3; fd < 100; ++fd) ::close(fd);
@@ -245,6 +247,161 @@
   }
   EXPECT_EQ(asked("GET", "read"), 200);
 }
+// ---- A new version under load -------------------------------------------------------------------------------
+
+struct Upgrade : ProcessTest {
+  ~Upgrade() override {
+    if (old > 0) kill(old, SIGKILL), waitpid(old, nullptr, 0);
+  }
+  void start(Tcp::endpoint& control) {
+    control = free_port();
+    config["control"] = "127.0.0.1:" + std::to_string(control.port());
+    run();
+    ASSERT_TRUE(loop.until([&] { return call(control, "GET", "/ready").starts_with("HTTP/1.1 200"); }))
+        << log();
+  }
+  void upgrade() {
+    old = child;
+    start(new_control);
+  }
+  std::string call(const Tcp::endpoint& at, const std::string& method, const std::string& target) {
+    try {
+      const auto w = loop.connect(at);
+      w->send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+      EXPECT_TRUE(loop.until([&] { return w->ended; }));
+      return w->in;
+    } catch (const boost::system::system_error&) {
+      return {};  // it does not listen yet
+    }
+  }
+  // The head of the answer to one request on a connection.
+  std::string asked(const std::shared_ptr<Wire>& w) {
+    w->send(ask());
+    EXPECT_TRUE(loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }));
+    return w->message();
+  }
+  std::string replies(const Tcp::endpoint& at) {
+    const auto text = call(at, "GET", "/metrics");
+    const std::string name = "node_replies{type=\"read\",status=\"success\"} ";
+    const auto begin = text.find(name);
+    return begin == std::string::npos
+               ? ""
+               : text.substr(begin + name.size(), text.find('\n', begin) - begin - name.size());
+  }
+
+  Tcp::endpoint old_control, new_control;
+  pid_t old = 0;
+};
+TEST_F(Upgrade, TheNewProcessTakesOverAndTheOldOneFinishes) {
+  start(old_control);
+  const auto kept = loop.connect(listen);
+  EXPECT_TRUE(asked(kept).starts_with("HTTP/1.1 200"));
+  answers = false;
+  const auto out = loop.connect(listen);
+  out->send(ask());
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  answers = true;
+  upgrade();
+  EXPECT_EQ(replies(old_control), "1");
+  const auto fresh = loop.connect(listen);
+  EXPECT_TRUE(asked(fresh).starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(replies(new_control), "1");  // the new one accepts
+  EXPECT_FALSE(kept->ended);             // told to close, not cut off
+  const auto last = asked(kept);
+  EXPECT_TRUE(last.starts_with("HTTP/1.1 200"));
+  EXPECT_NE(last.find("Connection: close"), std::string::npos);
+  kill(old, SIGTERM);
+  held->send(http_answer("200 OK", "served"));
+  EXPECT_TRUE(served(out));
+  int status = 0;
+  ASSERT_TRUE(loop.until([&] { return waitpid(old, &status, WNOHANG) == old; }));
+  old = 0;
+  EXPECT_EQ(status, 0);
+  EXPECT_TRUE(asked(fresh).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+}
+// A connection that waits in the queue while one process stops accepting is accepted by the other.
+TEST_F(Upgrade, NoConnectionIsLost) {
+  start(old_control);
+  std::vector<std::shared_ptr<Wire>> all;
+  std::function<void()> more = [&] {
+    all.push_back(loop.connect(listen));
+    all.back()->send(ask());
+  };
+  old = child;
+  new_control = free_port();
+  config["control"] = "127.0.0.1:" + std::to_string(new_control.port());
+  run();
+  ASSERT_TRUE(loop.until([&] {
+    more();
+    return log().find("taken over") != std::string::npos;
+  }));
+  for (int i = 0; i < 20; ++i) more();
+  kill(old, SIGTERM);
+  for (int i = 0; i < 20; ++i) more();
+  for (const auto& w : all)
+    EXPECT_TRUE(loop.until([&] { return !w->in.empty(); }) && w->in.starts_with("HTTP/1.1 "));
+}
+TEST_F(Upgrade, AServerOutByHandStaysOutAndCallsReachBoth) {
+  start(old_control);
+  const auto kept = loop.connect(listen), kept_too = loop.connect(listen);
+  EXPECT_TRUE(asked(kept).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(asked(kept_too).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(call(old_control, "POST", "/price-servers/disable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  upgrade();
+  const auto disabled = [&](const Tcp::endpoint& at, char count) {
+    return call(at, "GET", "/metrics").find(std::string("\nnode_targets_disabled ") + count) !=
+           std::string::npos;
+  };
+  EXPECT_TRUE(disabled(new_control, '1'));
+  EXPECT_FALSE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(call(new_control, "POST", "/price-servers/enable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(loop.until([&] { return disabled(old_control, '0'); }));
+  EXPECT_TRUE(asked(kept).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(call(new_control, "POST", "/price-servers/disable?who=s-00000001").starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(loop.until([&] { return disabled(old_control, '1'); }));
+}
+TEST_F(Upgrade, ASuccessorThatDiesLeavesTheOldOneServing) {
+  start(old_control);
+  upgrade();
+  kill(child, SIGKILL), waitpid(child, nullptr, 0);
+  child = std::exchange(old, 0);
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+  upgrade();  // and it can be followed again
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+}
+TEST_F(Upgrade, ASocketLeftBehindIsNoPredecessor) {
+  std::ofstream(dir / ("docklift-" + config["listen"].get<std::string>() + ".sock")) << "x";
+  start(old_control);
+  kill(child, SIGKILL), waitpid(child, nullptr, 0);
+  start(old_control);  // beside the socket of a process that was killed
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+  upgrade();
+  EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
+}
+// A predecessor that dies half way, says what is not understood, or says nothing: the node starts as usual.
+TEST_F(Upgrade, APredecessorOfNoUseDoesNotKeepTheNodeFromStarting) {
+  using Local = asio::local::stream_protocol;
+  const std::vector<std::string> scripts{"", "what\n", "{\"other\":1}\n", "{\"state\":{\"leases\":5}}\n",
+                                         "-"};
+  for (const auto& script : scripts) {
+    const auto path = dir / ("docklift-" + config["listen"].get<std::string>() + ".sock");
+    std::filesystem::remove(path);
+    asio::basic_socket_acceptor<Local, Executor> acceptor(loop.io.get_executor(),
+                                                          Local::endpoint(path.string()));
+    asio::basic_stream_socket<Local, Executor> peer(loop.io.get_executor());
+    acceptor.async_accept([&](const error_code& failed, auto socket) {
+      if (failed || script.empty()) return;  // closed at once
+      peer = std::move(socket);
+      if (script != "-") asio::write(peer, asio::buffer(script));
+    });
+    start(old_control);
+    EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200")) << script;
+    kill(child, SIGKILL), waitpid(child, nullptr, 0);
+    child = 0;
+  }
+}
 // More connections than the process has descriptors for, against what it was told: it goes on serving.
 TEST_F(ProcessTest, SurvivesALackOfDescriptors) {
   run(40);
