Pass long answers on in pieces, with back-pressure to the server

Tests: every form of a long answer in bounded pieces, nothing read ahead of the client, a trickle is neither held back nor cut off, a break is told to the client and not tried again, a client that leaves ends it at the server; a server's connection that ends with its answer is not kept.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,7 +1,6 @@
 #include "clients.hpp"
 
 #include <algorithm>
-#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <cstdio>
 #include <stdexcept>
@@ -89,6 +88,18 @@
   if (whole<std::uint32_t>(part("first"), "X-Quota first") >= s.fleet_size) bad("X-Quota first");
 }
 
+std::string head_of(http::status status, const std::string& content_type, std::optional<std::uint64_t> length,
+                    bool chunked, bool keep_alive) {
+  std::string head = "HTTP/1.1 " + std::to_string(static_cast<unsigned>(status)) + " ";
+  const auto reason = http::obsolete_reason(status);
+  head.append(reason.data(), reason.size()).append("\r\n");
+  if (!content_type.empty()) head.append("Content-Type: ").append(content_type).append("\r\n");
+  if (length) head.append("Content-Length: ").append(std::to_string(*length)).append("\r\n");
+  if (chunked) head.append("Transfer-Encoding: chunked\r\n");
+  if (!keep_alive) head.append("Connection: close\r\n");
+  return head;
+}
+
 string_view first_part(string_view target) {
   if (target.empty() || target.front() != '/') return {};
   target.remove_prefix(1);
@@ -213,6 +224,8 @@
   const Time began = since_;
   began_ = fresh_ = false;
   keep_alive_ = message.keep_alive();
+  bare_ = message.method() == http::verb::head;
+  modern_ = message.version() >= 11;
   enter(Stage::waiting);
   const string_view target(message.target().data(), message.target().size());
   if (target == "/-/ready") {
@@ -246,27 +259,83 @@
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
   if (clients_.draining_ || clients_.retired_) keep_alive_ = false;
-  response_ = {};
-  response_.result(answer.status);
-  response_.version(11);
-  response_.keep_alive(keep_alive_);
-  if (!answer.content_type.empty()) response_.set(http::field::content_type, answer.content_type);
+  out_ = head_of(answer.status, answer.content_type, answer.body.size(), false, keep_alive_);
   if (answer.retry_after > Duration{}) {
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.3f",
                   std::chrono::duration<double>(answer.retry_after).count());
-    response_.set(http::field::retry_after, text.data());
+    out_.append("Retry-After: ").append(text.data()).append("\r\n");
   }
-  response_.body() = answer.body;
-  response_.prepare_payload();
-  http::async_write(socket_, response_, [self = shared_from_this()](const error_code& failed, std::size_t) {
-    self->on_written(failed);
-  });
+  out_.append("\r\n");
+  if (!bare_) out_.append(answer.body);
+  write_some();
+}
+
+void ClientSession::begin(const AnswerHead& head) {
+  if (stage_ != Stage::waiting) return;
+  enter(Stage::streaming);
+  chunked_ = !head.length && modern_;
+  if (clients_.draining_ || clients_.retired_ || (!head.length && !chunked_)) keep_alive_ = false;
+  out_ = head_of(http::status::ok, head.content_type, head.length, chunked_, keep_alive_) + "\r\n";
+}
+
+void ClientSession::pass_on(string_view piece, std::function<void()> taken) {
+  if (stage_ != Stage::streaming) return;
+  if (chunked_ && !piece.empty()) {
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+    out_.append(size.data()).append(piece).append("\r\n");
+  } else {
+    out_.append(piece);
+  }
+  taken_ = std::move(taken);
+  write_some();
 }
 
-void ClientSession::on_written(const error_code& failed) {
-  if (closed()) return;
-  if (failed) return close();
+void ClientSession::end() {
+  if (stage_ != Stage::streaming) return;
+  request_ = 0;
+  if (chunked_) out_.append("0\r\n\r\n");
+  enter(Stage::writing);
+  write_some();
+}
+
+void ClientSession::cut_off() {
+  request_ = 0;
+  if (stage_ != Stage::streaming) return;
+  // Also where the end of the connection would be the end of the answer.
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
+void ClientSession::write_some() {
+  if (writes_ || closed()) return;
+  if (written_ == writing_.size()) {
+    written_ = 0;
+    writing_.clear();
+    std::swap(writing_, out_);
+  }
+  if (writing_.empty()) {
+    if (stage_ == Stage::writing) on_written();
+    return;
+  }
+  writes_ = true;
+  socket_.async_write_some(asio::buffer(writing_.data() + written_, writing_.size() - written_),
+                           [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
+                             self->writes_ = false;
+                             if (self->closed()) return;
+                             if (failed) return self->close();
+                             self->since_ = self->clients_.timers_.now();
+                             self->written_ += bytes;
+                             if (self->written_ == self->writing_.size() && self->out_.empty())
+                               if (const auto taken = std::exchange(self->taken_, nullptr)) taken();
+                             self->write_some();
+                           });
+}
+
+void ClientSession::on_written() {
+  writing_ = {};
   if (!keep_alive_) {
     // Only the sending side: a reset for bytes still unread here would take the answer with it.
     error_code ignored;
@@ -284,13 +353,16 @@
   const auto request = std::exchange(request_, 0);
   enter(Stage::closed);
   close_now(socket_);
+  taken_ = nullptr;
   const auto self = shared_from_this();
   clients_.forget(self);
   if (request != 0) clients_.owner_.client_gone(request);
 }
 
 void ClientSession::sweep(Time now) {
-  const auto limit = stage_ == Stage::writing     ? facts::kSlowReader
+  if (stage_ == Stage::streaming && !writes_) return;  // the server's turn
+  const bool writes = stage_ == Stage::writing || stage_ == Stage::streaming;
+  const auto limit = writes                       ? facts::kSlowReader
                      : stage_ == Stage::lingering ? facts::kLinger
                      : began_ || fresh_           ? facts::kSlowRequest
                                                   : facts::kIdleClient;
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -37,6 +37,12 @@
   Duration retry_after{};
 };
 
+// An answer that passes on in pieces.
+struct AnswerHead {
+  std::string content_type;
+  std::optional<std::uint64_t> length;  // none: not known before its end
+};
+
 class Clients;
 
 // One connection. It reads on while a request is out, so that a client that goes away is seen.
@@ -46,6 +52,12 @@
 
   void start();
   void answer(const Answer& answer);  // the final answer of the request that is out
+  // The same in pieces. The next piece may come when the last one has been taken; an answer that is cut off
+  // leaves the client able to tell.
+  void begin(const AnswerHead& head);
+  void pass_on(std::string_view piece, std::function<void()> taken);
+  void end();
+  void cut_off();
   void close();
   // Nothing of a request has come and none is out: it can be closed without loss.
   bool idle() const { return stage_ == Stage::reading && !began_; }
@@ -56,7 +68,7 @@
   void sweep(Time now);
 
  private:
-  enum class Stage { reading, waiting, writing, lingering, closed };
+  enum class Stage { reading, waiting, streaming, writing, lingering, closed };
   using Parser = http::request_parser<http::string_body>;
 
   void read();
@@ -65,21 +77,28 @@
   void take_request();
   void reject(http::status status, const std::string& why);  // what can't be parsed ends the session
   void write(const Answer& answer);
-  void on_written(const error_code& failed);
+  void write_some();
+  void on_written();
   void enter(Stage stage);
 
   Clients& clients_;
   Socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  http::response<http::string_body> response_;
+  std::string out_, writing_;  // to be written next; being written
+  std::size_t written_ = 0;    // of the latter
+  std::function<void()> taken_;
   Stage stage_ = Stage::reading;
   Time opened_{};
   Time since_{};               // of the stage, or of the first byte of a request that has not come whole
   bool fresh_ = true;          // no request has come whole yet
   bool began_ = false;         // a part of a request has come
   bool reads_ = false;         // a read is pending
+  bool writes_ = false;        // a write is pending
+  bool chunked_ = false;       // how the answer in pieces is framed
   bool keep_alive_ = false;    // what the request that is out wants
+  bool bare_ = false;          // HEAD: an answer without its body
+  bool modern_ = true;         // HTTP/1.1: knows chunks
   std::uint64_t request_ = 0;  // the node's number of it; 0: none
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -239,6 +239,8 @@
   --concurrent_;
   ++it->second.replies->error;
   happened(ClientGone{id});
+  // What is left of a long answer is for nobody.
+  if (it->second.streams && it->second.out > 0) return upstream_.cancel(id, it->second.attempts - 1);
   forget_if_done(id);
 }
 
@@ -253,8 +255,12 @@
   e.attempt = errand.attempt;
   e.server = errand.server;
   e.outcome = outcome;
-  e.took = timers_.now() - errand.began;
-  if (outcome == Outcome::ok) finish(errand.request, &Metrics::Replies::success, answer);
+  const bool streamed = errand.answered != Time{};
+  e.took = (streamed ? errand.answered : timers_.now()) - errand.began;
+  if (streamed)
+    end_stream(errand.request, outcome == Outcome::ok);
+  else if (outcome == Outcome::ok)
+    finish(errand.request, &Metrics::Replies::success, answer);
   const auto it = open_.find(errand.request);
   e.finished = it == open_.end() || !it->second.session;
   if (it != open_.end()) --it->second.out;
@@ -262,6 +268,33 @@
   happened(e);
 }
 
+bool Node::stream_began(const Errand& errand, const AnswerHead& head) {
+  const auto it = open_.find(errand.request);
+  if (it == open_.end() || !it->second.session) return false;
+  it->second.streams = true;
+  it->second.session->begin(head);
+  happened(StreamStarted{errand.request, errand.attempt});
+  return true;
+}
+
+void Node::stream_piece(const Errand& errand, std::string_view piece, std::function<void()> taken) {
+  const auto it = open_.find(errand.request);
+  if (it != open_.end() && it->second.session) it->second.session->pass_on(piece, std::move(taken));
+}
+
+void Node::end_stream(RequestId request, bool whole) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) return;
+  const auto session = std::exchange(it->second.session, nullptr);
+  if (!session) return;
+  --concurrent_;
+  ++(whole ? it->second.replies->success : it->second.replies->error);
+  if (whole)
+    session->end();
+  else
+    session->cut_off();
+}
+
 void Node::attempt_written(const Errand&) { metrics_.dispatched(); }
 
 void Node::probe_ended(const Errand& errand, Outcome outcome) {
@@ -340,7 +373,7 @@
 // The final answer, once: after it the session is no longer in the table.
 void Node::finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer) {
   const auto it = open_.find(request);
-  if (it == open_.end()) return;
+  if (it == open_.end() || it->second.streams) return;
   if (const auto session = std::exchange(it->second.session, nullptr)) {
     --concurrent_;
     ++(it->second.replies->*count);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -59,6 +59,7 @@
     std::shared_ptr<ClientSession> session;  // none: it has its final answer, or its client has gone
     std::shared_ptr<const ClientRequest> message;
     Metrics::Replies* replies = nullptr;  // the counts of its class
+    bool streams = false;                 // its answer passes on in pieces, from its last attempt
     std::uint32_t attempts = 0, out = 0;
   };
 
@@ -67,6 +68,8 @@
   void client_gone(std::uint64_t request) override;
   bool still_wanted(RequestId request) const override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
+  bool stream_began(const Errand& errand, const AnswerHead& head) override;
+  void stream_piece(const Errand& errand, std::string_view piece, std::function<void()> taken) override;
   void attempt_written(const Errand& errand) override;
   void probe_ended(const Errand& errand, Outcome outcome) override;
   bool serves() override { return serves_ && !drained_ && ready(); }
@@ -92,6 +95,7 @@
   void carry_out(const Subscribe&) {}  // the watch runs anyway
   void carry_out(const Log& s);
   void finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer);
+  void end_stream(RequestId request, bool whole);
   void forget_if_done(RequestId request);
   bool set_out(const std::string& server, bool out);
   void ask_when_ready();
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -8,7 +8,7 @@
 namespace snowknot {
 namespace {
 
-Outcome outcome_of(const http::response<http::string_body>& r) {
+Outcome outcome_of(const http::response<PieceBody>& r) {
   if (r.result() == http::status::ok) return Outcome::ok;
   const bool turned_away = r.result() == http::status::service_unavailable ||
                            r.result() == http::status::gateway_timeout;
@@ -79,30 +79,30 @@
   }
   request_.set(http::field::host, "app.svc");
   request_.prepare_payload();
-  parser_.emplace();
-  parser_->header_limit(facts::kMostHeader);
-  parser_->body_limit(facts::kMostBody);
-  parser_->eager(true);
+  expect_answer();
   stage_ = Stage::writing;
-  broken_ = false;
+  broken_ = streams_ = paused_ = false;
+  answered_ = {};
   http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
     if (!failed && self->errand_->message) self->upstream_.owner_.attempt_written(*self->errand_);
     if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
     self->stage_ = Stage::waiting;
-    if (self->broken_) self->broke();
+    if (self->broken_) return self->broke();
+    if (!self->reads_) self->go_through();
   });
 }
 
 void ServerConnection::read() {
-  if (stage_ == Stage::closed) return;
-  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+  if (stage_ == Stage::closed || std::exchange(reads_, true)) return;
+  socket_.async_read_some(buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize),
                           [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
                             self->on_read(failed, bytes);
                           });
 }
 
 void ServerConnection::on_read(const error_code& failed, std::size_t bytes) {
+  reads_ = false;
   if (stage_ == Stage::closed) return;
   // On a connection that idles there is nothing to read but its end.
   if (stage_ == Stage::idle) return close(Outcome::reset);
@@ -113,27 +113,102 @@
     return broke();
   }
   buffer_.commit(bytes);
+  go_through();
+}
+
+void ServerConnection::go_through() {
+  if (!take_bytes()) return broke();
+  if (parser_->is_done()) return finish();
+  if (answered_ == Time{} && parser_->is_header_done()) hold();
+  if (parser_->is_header_done() && parser_->get().result() != http::status::ok) parser_->get().body().clear();
+  if (long_answer()) begin_stream();
+  if (stage_ == Stage::closed) return;
+  if (streams_) return pass_on();
+  // An answer that comes before its request is written whole is not read on for long.
+  if (stage_ == Stage::writing && parser_->get().body().size() >= facts::kHeldBytes) return;
+  read();
+}
+
+void ServerConnection::expect_answer() {
+  parser_.emplace();
+  parser_->header_limit(facts::kMostHeader);
+  parser_->body_limit(boost::none);
+  parser_->eager(true);
+}
+
+// False if what comes is no answer.
+bool ServerConnection::take_bytes() {
   error_code wrong;
   while (!parser_->is_done() && buffer_.size() > 0) {
     buffer_.consume(parser_->put(buffer_.data(), wrong));
-    if (wrong == http::error::need_more) {
-      wrong = {};
-      break;
-    }
-    if (wrong) return broke();
+    if (wrong == http::error::need_more) return true;
+    if (wrong) return false;
     // An interim answer (1xx) is followed by the final one.
     if (parser_->is_done() &&
-        http::to_status_class(parser_->get().result()) == http::status_class::informational) {
-      parser_.emplace();
-      parser_->header_limit(facts::kMostHeader);
-      parser_->body_limit(facts::kMostBody);
-      parser_->eager(true);
-    }
+        http::to_status_class(parser_->get().result()) == http::status_class::informational)
+      expect_answer();
   }
-  if (parser_->is_done()) return finish();
+  return true;
+}
+
+void ServerConnection::hold() {
+  answered_ = upstream_.timers_.now();
+  hold_ = upstream_.timers_.after(facts::kHeldTime, [self = shared_from_this()] {
+    self->hold_.reset();
+    if (!self->long_answer()) return;
+    self->begin_stream();
+    if (self->stage_ != Stage::closed && !self->parser_->get().body().empty()) self->pass_on();
+  });
+}
+
+// Whether the part that has come should pass on now. What is held until then may be tried elsewhere if the
+// connection breaks. The body of an answer that is not passed on is of no use.
+bool ServerConnection::long_answer() const {
+  if (streams_ || !parser_->is_header_done() || !errand_->message) return false;
+  const auto& answer = parser_->get();
+  const auto length = parser_->content_length();
+  return answer.result() == http::status::ok && stage_ == Stage::waiting &&
+         (answer.body().size() >= facts::kHeldBytes || (length && *length > facts::kMostBody) ||
+          (answered_ != Time{} && upstream_.timers_.now() - answered_ >= facts::kHeldTime));
+}
+
+void ServerConnection::begin_stream() {
+  const auto length = parser_->content_length();
+  AnswerHead head{std::string(parser_->get()[http::field::content_type]), std::nullopt};
+  if (length) head.length = *length;
+  upstream_.timers_.cancel(limit_);
+  upstream_.timers_.cancel(hold_);
+  errand_->answered = upstream_.timers_.now();
+  streams_ = true;
+  const auto self = shared_from_this();
+  if (!upstream_.owner_.stream_began(*errand_, head)) close(Outcome::cancelled);
+}
+
+// One piece at a time: the next is read when the client has taken this one.
+void ServerConnection::pass_on() {
+  auto& body = parser_->get().body();
+  upstream_.timers_.cancel(limit_);
+  if (body.empty()) return expect_more(), read();
+  paused_ = true;
+  upstream_.owner_.stream_piece(*errand_, body, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->go_on();
+  });
+  body.clear();
+}
+
+void ServerConnection::go_on() {
+  if (stage_ == Stage::closed || !std::exchange(paused_, false)) return;
+  expect_more();
   read();
 }
 
+void ServerConnection::expect_more() {
+  limit_ = upstream_.timers_.after(facts::kStalled, [self = shared_from_this()] {
+    self->limit_.reset();
+    self->close(Outcome::reset);
+  });
+}
+
 // The connection is of no more use while a request is out on it. If its last byte was written it may have run.
 void ServerConnection::broke() {
   if (stage_ == Stage::writing) {
@@ -147,11 +222,16 @@
 }
 
 void ServerConnection::finish() {
+  const bool lasts = parser_->keep_alive();  // not where the answer ends with the connection
   auto response = parser_->release();
-  const bool keep = response.keep_alive() && stage_ == Stage::waiting && buffer_.size() == 0;
+  const bool keep = lasts && stage_ == Stage::waiting && buffer_.size() == 0;
   const auto outcome = outcome_of(response);
-  Answer answer{
-      response.result(), std::move(response.body()), std::string(response[http::field::content_type]), {}};
+  Answer answer{response.result(), {}, std::string(response[http::field::content_type]), {}};
+  if (!streams_) {
+    answer.body = std::move(response.body());
+  } else if (!response.body().empty()) {
+    upstream_.owner_.stream_piece(*errand_, response.body(), nullptr);
+  }
   if (!keep) {
     stage_ = Stage::closed;
     close_now(socket_);
@@ -171,6 +251,7 @@
 void ServerConnection::end(Outcome outcome, Answer answer) {
   const auto self = shared_from_this();
   upstream_.timers_.cancel(limit_);
+  upstream_.timers_.cancel(hold_);
   const auto errand = std::exchange(errand_, std::nullopt);
   if (stage_ == Stage::closed) {
     upstream_.forget(self);
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -17,6 +17,33 @@
 
 namespace snowknot {
 
+// A body that is taken out as it comes: nothing is set aside for what is still to come.
+struct PieceBody {
+  using value_type = std::string;
+  static std::uint64_t size(const value_type& body) { return body.size(); }
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    explicit reader(http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&, error_code& failed) { failed = {}; }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, error_code& failed) {
+      failed = {};
+      std::size_t bytes = 0;
+      for (auto it = asio::buffer_sequence_begin(buffers); it != asio::buffer_sequence_end(buffers); ++it) {
+        const asio::const_buffer part(*it);
+        body_.append(static_cast<const char*>(part.data()), part.size());
+        bytes += part.size();
+      }
+      return bytes;
+    }
+    void finish(error_code& failed) { failed = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 // What is to be done on one connection: an attempt of a request, or a probe if there is no message.
 struct Errand {
   RequestId request{};
@@ -24,6 +51,7 @@
   ServerId server{};
   Time began{}, deadline{};
   std::shared_ptr<const ClientRequest> message;
+  Time answered{};  // when a long answer began to pass on
 };
 
 class Upstream;
@@ -35,6 +63,7 @@
   void open(const Tcp::endpoint& to, Errand errand);
   void take(Errand errand);     // on a connection that idles
   void close(Outcome outcome);  // ends what it is busy with
+  void go_on();                 // the last piece has been taken
   bool idle() const { return stage_ == Stage::idle; }
   Time since() const { return since_; }
   ServerId server() const { return server_; }
@@ -47,19 +76,31 @@
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
   void broke();
+  void go_through();
   void finish();
+  bool take_bytes();
+  void expect_answer();
+  bool long_answer() const;
+  void hold();
+  void begin_stream();
+  void expect_more();
+  void pass_on();
   void end(Outcome outcome, Answer answer);
 
   Upstream& upstream_;
   Socket socket_;
   ServerId server_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<PieceBody>> parser_;
   http::request<http::span_body<const char>> request_;
   std::optional<Errand> errand_;
-  Timers::Handle limit_;
+  Timers::Handle limit_, hold_;
   Stage stage_ = Stage::connecting;
-  bool broken_ = false;  // the other side has gone while a request was being written
+  bool streams_ = false;  // the answer passes on in pieces
+  bool reads_ = false;    // a read is pending
+  bool paused_ = false;   // until the client has taken the last one
+  Time answered_{};       // when the answer began to come
+  bool broken_ = false;   // the other side has gone while a request was being written
   Time since_{};
 };
 
@@ -68,6 +109,9 @@
   struct Owner {
     virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
     virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
+    // A long answer, of which nothing is tried elsewhere any more. False: nobody waits for it.
+    virtual bool stream_began(const Errand& errand, const AnswerHead& head) = 0;
+    virtual void stream_piece(const Errand& errand, std::string_view piece, std::function<void()> taken) = 0;
     virtual void attempt_written(const Errand& errand) = 0;  // its last byte
     virtual void probe_ended(const Errand& errand, Outcome outcome) = 0;
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -124,6 +124,55 @@
   EXPECT_TRUE(answer.ends_with(big));
   EXPECT_TRUE(seen.at(0).ends_with(big));
 }
+TEST_F(NodeTest, ALongAnswerPassesOnAndTheSessionIsKept) {
+  start();
+  const std::string big(1000000, 'z');
+  respond = [&](Wire& w, const std::string&) { w.send(http_answer("200 OK", big)); };
+  const auto w = client();
+  for (int i = 0; i < 2; ++i) {
+    w->send(Ask{}.text());
+    EXPECT_EQ(status(w), 200);
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + big));
+  }
+  EXPECT_TRUE(figure("node_replies{type=\"safe\",status=\"success\"} 2"));
+  EXPECT_EQ(node->open_requests(), 0u);
+}
+TEST_F(NodeTest, ALongAnswerOfNoGivenLengthPassesOnInChunks) {
+  start();
+  respond = [](Wire& w, const std::string&) {
+    w.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(100000, 'z'), true);
+  };
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return w->in.ends_with("\r\n0\r\n\r\n"); }));
+  EXPECT_NE(w->in.find("Transfer-Encoding: chunked\r\n"), std::string::npos);
+  EXPECT_EQ(std::ranges::count(w->in.substr(w->in.find("\r\n\r\n")), 'z'), 100000);
+}
+// The client can tell that the answer is not whole, and it is not tried again.
+TEST_F(NodeTest, ALongAnswerThatBreaksIsCutOff) {
+  start();
+  respond = [](Wire& w, const std::string&) {
+    w.send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc", true);
+  };
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return w->ended; }));
+  EXPECT_EQ(seen.size(), 1u);
+  EXPECT_TRUE(figure("node_replies{type=\"safe\",status=\"error\"} 1"));
+  EXPECT_EQ(node->open_requests(), 0u);
+}
+TEST_F(NodeTest, AClientThatLeavesALongAnswerEndsItAtTheServer) {
+  start();
+  respond = [](Wire& w, const std::string&) {
+    w.send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc");
+  };
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return w->in.ends_with("abc"); }));
+  w->close();
+  EXPECT_TRUE(loop.until([&] { return node->open_requests() == 0; }));
+  EXPECT_TRUE(figure("node_concurrent 0"));
+}
 TEST_F(NodeTest, SessionsAreKept) {
   start();
   const auto w = client();
