Give slow clients their time, and keep those that write on when a crowd stops half way

A head has 2.6 s (2 s from connecting before, and the answer's time ran from the first byte), a body 64 kB a second after that. When the budget is full the session from which nothing came for longest goes, not the oldest request.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -106,7 +106,7 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
-ClientRequest read_request(Fields& f, std::shared_ptr<const Settings> settings, Time began) {
+ClientRequest read_request(Fields& f, std::shared_ptr<const Settings> settings, Time now) {
   ClientRequest r;
   const auto& s = *settings;
   r.settings = std::move(settings);
@@ -122,7 +122,9 @@
   a.customer = customer(f);
   const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
   if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
-  r.deadline = began + std::chrono::milliseconds(timeout);
+  // The time of a request counts from its last byte, however slowly it came.
+  a.time_left = std::chrono::milliseconds(timeout);
+  r.deadline = now + a.time_left;
   read_quota(f, s, a);
   if (f.count("X-Retried") > 0) {
     if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
@@ -150,7 +152,11 @@
 // ---- A session ------------------------------------------------------------------------------------------
 
 ClientSession::ClientSession(Clients& clients, Socket socket)
-    : clients_(clients), socket_(std::move(socket)), opened_(clients.timers_.now()), since_(opened_) {}
+    : clients_(clients),
+      socket_(std::move(socket)),
+      opened_(clients.timers_.now()),
+      heard_(opened_),
+      since_(opened_) {}
 
 void ClientSession::start() {
   set_no_delay(socket_);
@@ -177,6 +183,8 @@
   if (closed()) return;
   if (failed) return close();
   buffer_.commit(bytes);
+  heard_ = clients_.timers_.now();
+  came_ += bytes;
   if (stage_ == Stage::lingering) buffer_.clear();
   if (stage_ == Stage::reading) parse();
   read();
@@ -186,6 +194,7 @@
   if (buffer_.size() == 0) return;
   if (!std::exchange(began_, true)) {
     since_ = clients_.timers_.now();
+    came_ = buffer_.size();
     parser_.emplace();
     parser_->header_limit(facts::kMostHeader);
     parser_->body_limit(facts::kMostBody);
@@ -221,7 +230,6 @@
 void ClientSession::take_request() {
   auto message = parser_->release();
   parser_.reset();
-  const Time began = since_;
   began_ = fresh_ = false;
   keep_alive_ = message.keep_alive();
   bare_ = message.method() == http::verb::head;
@@ -236,8 +244,7 @@
                   {}});
   }
   try {
-    auto request = read_request(message, clients_.settings_, began);
-    request.arrival.time_left = request.deadline - clients_.timers_.now();
+    auto request = read_request(message, clients_.settings_, clients_.timers_.now());
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
@@ -364,7 +371,8 @@
   const bool writes = stage_ == Stage::writing || stage_ == Stage::streaming;
   const auto limit = writes                       ? facts::kSlowReader
                      : stage_ == Stage::lingering ? facts::kLinger
-                     : began_ || fresh_           ? facts::kSlowRequest
+                     : began_                     ? request_limit()
+                     : fresh_                     ? facts::kSlowHead
                                                   : facts::kIdleClient;
   // Whoever connects has so long for its first request, with whatever pauses.
   const Time from = stage_ == Stage::reading && fresh_ ? opened_ : since_;
@@ -374,6 +382,13 @@
   close();
 }
 
+// A head has its time, and a body as much more as what has come takes a slow client.
+Duration ClientSession::request_limit() const {
+  if (!parser_ || !parser_->is_header_done()) return facts::kSlowHead;
+  const std::chrono::duration<double> more(static_cast<double>(came_) / facts::kSlowBody);
+  return facts::kSlowHead + std::chrono::duration_cast<Duration>(more);
+}
+
 // ---- The listener ---------------------------------------------------------------------------------------
 
 Clients::Clients(asio::io_context& io, Timers& timers, std::shared_ptr<const Settings> settings,
@@ -438,12 +453,13 @@
   });
 }
 
-// Gives up the session that has idled longest; if none idles, the one whose request is longest in coming. A
+// Gives up the session that has idled longest; if none idles, the one of whose request nothing has come for
+// longest: of a crowd that stops half way those who go on writing are kept. A
 // request that has come whole is never given up.
 void Clients::make_room() {
   std::shared_ptr<ClientSession> oldest;
   const auto before = [](const auto& a, const auto& b) {
-    return std::pair(!a->idle(), a->since()) < std::pair(!b->idle(), b->since());
+    return std::pair(!a->idle(), a->heard()) < std::pair(!b->idle(), b->heard());
   };
   for (const auto& s : sessions_)
     if (s->expendable() && (!oldest || before(s, oldest))) oldest = s;
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -64,6 +64,8 @@
   // What it holds is not taken: nothing, a part of a request, or an answer that was written.
   bool expendable() const { return stage_ == Stage::reading || stage_ == Stage::lingering; }
   bool closed() const { return stage_ == Stage::closed; }
+  // When something came last. A client that writes slowly goes on writing; one that stopped does not.
+  Time heard() const { return heard_; }
   Time since() const { return since_; }
   void sweep(Time now);
 
@@ -80,6 +82,7 @@
   void write_some();
   void on_written();
   void enter(Stage stage);
+  Duration request_limit() const;
 
   Clients& clients_;
   Socket socket_;
@@ -89,7 +92,8 @@
   std::size_t written_ = 0;    // of the latter
   std::function<void()> taken_;
   Stage stage_ = Stage::reading;
-  Time opened_{};
+  Time opened_{}, heard_{};
+  std::size_t came_ = 0;       // bytes since the request began
   Time since_{};               // of the stage, or of the first byte of a request that has not come whole
   bool fresh_ = true;          // no request has come whole yet
   bool began_ = false;         // a part of a request has come
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -31,7 +31,9 @@
 inline constexpr std::size_t kReadSize = 4 * 1024;    // asked of a socket at once
 inline constexpr std::size_t kMostId = 256;           // bytes of X-Request-ID and Idempotency-Key
 inline constexpr std::uint64_t kMostTimeoutMs = 1000ULL * 60 * 60;
-inline constexpr Duration kSlowRequest = 2s;   // a request must have come whole after this: TERMS allow 3 s
+inline constexpr Duration
+    kSlowHead = 2600ms;  // for a head: clients may take 2 s; TERMS allow 3 s with the sweep
+inline constexpr double kSlowBody = 64.0e3;    // bytes a second at least of a body, after that
 inline constexpr Duration kSlowReader = 10s;   // and some of an answer must have been taken
 inline constexpr Duration kLinger = 2s;        // for a client to take an answer that ends its connection
 inline constexpr Duration kIdleClient = 120s;  // a session with no request for so long is taken for vanished
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -386,6 +386,37 @@
   EXPECT_TRUE(loop.until([&] { return silent->ended; }));
   EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
 }
+// A slow client may take 2 s for its head, and its time counts from the last byte.
+TEST_F(NodeTest, ASlowClientIsServedAndItsTimeCountsFromItsLastByte) {
+  start();
+  auto a = notice();
+  a.timeout = "1500";
+  const auto text = a.text();
+  const auto w = client();
+  const auto begun = std::chrono::steady_clock::now();
+  w->send(text.substr(0, 30));
+  loop.until([&] { return std::chrono::steady_clock::now() - begun > 2s; });
+  EXPECT_FALSE(w->ended);
+  w->send(text.substr(30));
+  EXPECT_EQ(status(w), 200);
+}
+// In a crowd that stops half way, a client that goes on writing keeps its place.
+TEST_F(NodeTest, ACrowdThatStopsHalfWayMakesRoom) {
+  start(80);
+  const auto slow = client();
+  slow->send("GET /safe?q=1 ");
+  std::vector<std::shared_ptr<Wire>> crowd;
+  const auto rest = Ask{}.text().substr(14);
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(client());
+    crowd.back()->send("GET /safe HT");
+    ASSERT_TRUE(loop.until([&] { return slow->ended || loop.io.poll_one() == 0; }));
+    if (i % 5 == 0) slow->send(rest.substr(static_cast<std::size_t>(i / 5), 1));
+  }
+  slow->send(rest.substr(12));
+  EXPECT_EQ(status(slow), 200);
+  EXPECT_EQ(status(Ask{.id = "a2"}), 200);
+}
 TEST_F(NodeTest, AConnectionThatWasServedMayIdleLonger) {
   start();
   const auto w = client();
