Pass long bodies on in pieces, with back-pressure to the client

Design: a body of up to 64 KiB is held whole, as before, and can be sent again. A longer one is admitted by its head and passes on while it comes; what has been passed on is held no more, so the module is told that the request is spent and makes no further attempt. Its time counts from its last byte at the server. The client is read only while there is room for a piece, and what it has to wait for is not counted against it. A refusal goes out at once. Turned down: holding bodies up to 32 MB, more than the memory of a node; and holding the first part for a second try, which a broken connection in a body of seconds rarely allows in time.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -152,6 +152,7 @@
   bool finished = false;  // the client has its final answer
   double true_units = 0;  // 0: not told
   std::optional<LoadReport> load{};
+  bool spent = false;  // a part of its body was passed on and is held no more: it can't be sent again
 };
 
 struct StreamStarted {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -307,6 +307,7 @@
   bool speaks = false;  // its call also adds what its plan has on credit
   double lot = 0;       // 0 to 2: what must be free of the bound, by chance and by worth
   bool may_have_run = false;
+  bool spent = false;       // nothing is left to send a second time
   Time first_run{};         // sending of the first attempt that may have run
   ServerInfo ran_at;        // where that was
   std::int64_t window = 0;  // of the units taken
@@ -946,6 +947,7 @@
       }
     }
     if (e.true_units > 0 && set_.settled_after) put_back(r, r.units - e.true_units);
+    r.spent = r.spent || e.spent;
     if (e.finished) end(e.request, r);
     if (r.stage != Stage::ended && r.out() == 0) further(e.request, r);
     forget_if_done(e.request);
@@ -957,7 +959,7 @@
     bool allowed = r.attempts.size() < r.rules->max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
     if (r.may_have_run && c.effect == Effect::keyed && now_ >= r.first_run + c.memory_span) allowed = false;
-    if (too_late(r)) allowed = false;
+    if (too_late(r) || r.spent) allowed = false;
     ServerId server{};
     if (allowed && choose(r, server) == Pick::server) return send(id, r, server);
     const bool harmless = !r.may_have_run || c.effect == Effect::safe ||
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -44,7 +44,7 @@
   return std::nullopt;
 }
 
-using Fields = http::request<http::string_body>;
+using Fields = http::request<PieceBody>;
 
 string_view header(const Fields& f, string_view name) {
   const auto [first, last] = f.equal_range({name.data(), name.size()});
@@ -171,8 +171,15 @@
 void ClientSession::read() {
   // A client that writes on while its request is out is read ahead by one message at most.
   if (reads_ || closed() || buffer_.size() > facts::kMostHeader + facts::kMostBody) return;
+  if (upload_ && upload_->full()) {
+    if (paused_at_ == Time{}) paused_at_ = clients_.timers_.now();
+    return;
+  }
+  // What the body had to wait for is not the client's time.
+  if (const auto paused = std::exchange(paused_at_, {}); paused != Time{})
+    began_at_ += clients_.timers_.now() - paused;
   reads_ = true;
-  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+  socket_.async_read_some(buffer_.prepare(upload_ ? facts::kPiece : facts::kReadSize),
                           [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
                             self->on_read(failed, bytes);
                           });
@@ -186,33 +193,43 @@
   heard_ = clients_.timers_.now();
   came_ += bytes;
   if (stage_ == Stage::lingering) buffer_.clear();
-  if (stage_ == Stage::reading) parse();
+  if (stage_ == Stage::reading) {
+    parse();
+  } else if (upload_) {
+    take_body();
+  }
   read();
 }
 
 void ClientSession::parse() {
   if (buffer_.size() == 0) return;
   if (!std::exchange(began_, true)) {
-    since_ = clients_.timers_.now();
+    began_at_ = since_ = clients_.timers_.now();
     came_ = buffer_.size();
     parser_.emplace();
     parser_->header_limit(facts::kMostHeader);
-    parser_->body_limit(facts::kMostBody);
+    parser_->body_limit(facts::kLongestBody);
     parser_->eager(true);
   }
+  if (!feed()) return;
+  const auto length = parser_->content_length();
+  const bool is_long = parser_->is_header_done() && ((length && *length > facts::kMostBody) ||
+                                                     parser_->get().body().size() > facts::kMostBody);
+  if (parser_->is_done() || is_long) take_request();
+}
+
+// Takes what has come into the parser; false if that can't be parsed, which has been answered.
+bool ClientSession::feed() {
   error_code failed;
   while (!parser_->is_done() && buffer_.size() > 0) {
     const bool had_header = parser_->is_header_done();
     buffer_.consume(parser_->put(buffer_.data(), failed));
-    if (failed == http::error::need_more) {
-      failed = {};
-      break;
-    }
+    if (failed == http::error::need_more) return true;
     if (failed == http::error::header_limit)
-      return reject(http::status::request_header_fields_too_large, "the header is too large");
+      return reject(http::status::request_header_fields_too_large, "the header is too large"), false;
     if (failed == http::error::body_limit)
-      return reject(http::status::payload_too_large, "the body is too large");
-    if (failed) return reject(http::status::bad_request, failed.message());
+      return reject(http::status::payload_too_large, "the body is too large"), false;
+    if (failed) return reject(http::status::bad_request, failed.message()), false;
     if (!had_header && parser_->is_header_done()) {
       const auto& head = parser_->get();
       if (boost::beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) {
@@ -224,12 +241,35 @@
       }
     }
   }
-  if (parser_->is_done()) take_request();
+  return true;
 }
 
-void ClientSession::take_request() {
-  auto message = parser_->release();
+// The rest of a body that is passed on.
+void ClientSession::take_body() {
+  if (!feed()) return;
+  auto& body = parser_->get().body();
+  const auto upload = upload_;
+  if (parser_->is_done()) upload_.reset();
+  if (!body.empty()) upload->put(std::exchange(body, {}));
+  if (upload_) return;
   parser_.reset();
+  upload->end();
+}
+
+void ClientSession::take_request() {
+  const bool whole = parser_->is_done();
+  Fields message(http::request_header<>(parser_->get().base()));
+  message.body() = std::exchange(parser_->get().body(), {});
+  if (whole) {
+    parser_.reset();
+  } else {
+    const auto length = parser_->content_length();
+    upload_ = std::make_shared<Upload>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    upload_->on_room([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->read();
+    });
+  }
+  const auto upload = upload_;
   began_ = fresh_ = false;
   keep_alive_ = message.keep_alive();
   bare_ = message.method() == http::verb::head;
@@ -245,6 +285,10 @@
   }
   try {
     auto request = read_request(message, clients_.settings_, clients_.timers_.now());
+    if (upload) {
+      upload->put(std::exchange(request.body, {}));
+      request.upload = upload;
+    }
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
@@ -253,6 +297,8 @@
 }
 
 void ClientSession::reject(http::status status, const std::string& why) {
+  // Of a request that is out already: it will not come whole.
+  if (upload_) return close();
   keep_alive_ = false;
   buffer_.clear();
   write({status, why + "\n", "text/plain", {}});
@@ -265,6 +311,7 @@
 
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
+  if (std::exchange(upload_, nullptr)) parser_.reset(), keep_alive_ = false;  // the rest is read for nobody
   if (clients_.draining_ || clients_.retired_) keep_alive_ = false;
   out_ = head_of(answer.status, answer.content_type, answer.body.size(), false, keep_alive_);
   if (answer.retry_after > Duration{}) {
@@ -348,7 +395,8 @@
     error_code ignored;
     socket_.shutdown(Socket::shutdown_send, ignored);
     buffer_.clear();
-    return enter(Stage::lingering);
+    enter(Stage::lingering);
+    return read();
   }
   enter(Stage::reading);
   parse();
@@ -364,10 +412,14 @@
   const auto self = shared_from_this();
   clients_.forget(self);
   if (request != 0) clients_.owner_.client_gone(request);
+  if (const auto upload = std::exchange(upload_, nullptr)) upload->break_off();
 }
 
 void ClientSession::sweep(Time now) {
   if (stage_ == Stage::streaming && !writes_) return;  // the server's turn
+  if (stage_ == Stage::waiting && upload_ && reads_ && now - began_at_ >= request_limit()) return close();
+  if (stage_ == Stage::lingering && now - since_ < facts::kLongestLinger && now - heard_ < facts::kLinger)
+    return;
   const bool writes = stage_ == Stage::writing || stage_ == Stage::streaming;
   const auto limit = writes                       ? facts::kSlowReader
                      : stage_ == Stage::lingering ? facts::kLinger
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -12,7 +12,9 @@
 #include <unordered_set>
 
 #include "net.hpp"
+#include "piece_body.hpp"
 #include "snowknot/gateway.hpp"
+#include "upload.hpp"
 
 namespace snowknot {
 
@@ -24,6 +26,7 @@
   Time deadline{};
   http::verb method{};
   std::string target, id, key, content_type, body;
+  std::shared_ptr<Upload> upload;            // of a long body, which comes in pieces
   std::shared_ptr<const Settings> settings;  // that it was read under
 
   const RequestClass& cls() const {
@@ -71,12 +74,14 @@
 
  private:
   enum class Stage { reading, waiting, streaming, writing, lingering, closed };
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<PieceBody>;
 
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
   void parse();
+  bool feed();
   void take_request();
+  void take_body();
   void reject(http::status status, const std::string& why);  // what can't be parsed ends the session
   void write(const Answer& answer);
   void write_some();
@@ -93,17 +98,19 @@
   std::function<void()> taken_;
   Stage stage_ = Stage::reading;
   Time opened_{}, heard_{};
-  std::size_t came_ = 0;       // bytes since the request began
-  Time since_{};               // of the stage, or of the first byte of a request that has not come whole
-  bool fresh_ = true;          // no request has come whole yet
-  bool began_ = false;         // a part of a request has come
-  bool reads_ = false;         // a read is pending
-  bool writes_ = false;        // a write is pending
-  bool chunked_ = false;       // how the answer in pieces is framed
-  bool keep_alive_ = false;    // what the request that is out wants
-  bool bare_ = false;          // HEAD: an answer without its body
-  bool modern_ = true;         // HTTP/1.1: knows chunks
-  std::uint64_t request_ = 0;  // the node's number of it; 0: none
+  Time began_at_{}, paused_at_{};   // of the request; of reading, while its body has no room
+  std::shared_ptr<Upload> upload_;  // of a request that is out and has not come whole
+  std::size_t came_ = 0;            // bytes since the request began
+  Time since_{};                    // of the stage, or of the first byte of a request that has not come whole
+  bool fresh_ = true;               // no request has come whole yet
+  bool began_ = false;              // a part of a request has come
+  bool reads_ = false;              // a read is pending
+  bool writes_ = false;             // a write is pending
+  bool chunked_ = false;            // how the answer in pieces is framed
+  bool keep_alive_ = false;         // what the request that is out wants
+  bool bare_ = false;               // HEAD: an answer without its body
+  bool modern_ = true;              // HTTP/1.1: knows chunks
+  std::uint64_t request_ = 0;       // the node's number of it; 0: none
 };
 
 class Clients {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -23,9 +23,10 @@
 inline constexpr Duration kNewAfterTerm = 600ms;  // new connections come for 400 ms after SIGTERM; and margin
 
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
-inline constexpr std::size_t kHeldBytes = 16 * 1024;  // of an answer that may yet be tried elsewhere
-inline constexpr Duration kHeldTime = 300ms;          // and how long: 2 s would count as held back
-inline constexpr std::size_t kPiece = 16 * 1024;      // of a long answer that is on its way
+inline constexpr std::uint64_t kLongestBody = 64ULL << 20U;  // of a request; more is answered 413
+inline constexpr std::size_t kHeldBytes = 16 * 1024;         // of an answer that may yet be tried elsewhere
+inline constexpr Duration kHeldTime = 300ms;                 // and how long: 2 s would count as held back
+inline constexpr std::size_t kPiece = 16 * 1024;             // of a long answer that is on its way
 inline constexpr Duration kStalled = 10s;             // a server that goes on with nothing of a long answer
 inline constexpr std::size_t kMostHeader = 8 * 1024;  // bytes of a message's head; more is answered 431
 inline constexpr std::size_t kReadSize = 4 * 1024;    // asked of a socket at once
@@ -33,9 +34,11 @@
 inline constexpr std::uint64_t kMostTimeoutMs = 1000ULL * 60 * 60;
 inline constexpr Duration
     kSlowHead = 2600ms;  // for a head: clients may take 2 s; TERMS allow 3 s with the sweep
-inline constexpr double kSlowBody = 64.0e3;    // bytes a second at least of a body, after that
-inline constexpr Duration kSlowReader = 10s;   // and some of an answer must have been taken
-inline constexpr Duration kLinger = 2s;        // for a client to take an answer that ends its connection
+inline constexpr double kSlowBody = 64.0e3;   // bytes a second at least of a body, after that
+inline constexpr Duration kSlowReader = 10s;  // and some of an answer must have been taken
+inline constexpr Duration kLinger = 2s;       // for a client to take an answer that ends its connection
+inline constexpr Duration
+    kLongestLinger = 6s;  // and in all, while it goes on writing a body that nobody wants
 inline constexpr Duration kIdleClient = 120s;  // a session with no request for so long is taken for vanished
 inline constexpr Duration kSweep = 1s;         // pools are looked through so often
 inline constexpr Duration
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -262,6 +262,8 @@
   else if (outcome == Outcome::ok)
     finish(errand.request, &Metrics::Replies::success, answer);
   const auto it = open_.find(errand.request);
+  const auto& upload = errand.message->upload;
+  e.spent = upload && upload->begun();
   e.finished = it == open_.end() || !it->second.session;
   if (it != open_.end()) --it->second.out;
   forget_if_done(errand.request);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -58,10 +58,7 @@
 void ServerConnection::start() {
   if (!upstream_.may_start(*errand_)) return end(Outcome::never_sent, {});
   const Time now = upstream_.timers_.now();
-  limit_ = upstream_.timers_.at(errand_->deadline, [self = shared_from_this()] {
-    self->limit_.reset();
-    self->close(Outcome::timeout);
-  });
+  expect_outcome();
   request_ = {};
   request_.version(11);
   if (const auto& m = errand_->message) {
@@ -78,21 +75,87 @@
     request_.target("/-/healthy");
   }
   request_.set(http::field::host, "app.svc");
-  request_.prepare_payload();
   expect_answer();
   stage_ = Stage::writing;
-  broken_ = streams_ = paused_ = false;
+  broken_ = streams_ = paused_ = writes_ = false;
   answered_ = {};
+  if (errand_->message && errand_->message->upload) return start_upload();
+  request_.prepare_payload();
   http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
-    if (!failed && self->errand_->message) self->upstream_.owner_.attempt_written(*self->errand_);
     if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
-    self->stage_ = Stage::waiting;
-    if (self->broken_) return self->broke();
-    if (!self->reads_) self->go_through();
+    self->written();
+  });
+}
+
+void ServerConnection::expect_outcome() {
+  upstream_.timers_.cancel(limit_);
+  limit_ = upstream_.timers_.at(errand_->deadline, [self = shared_from_this()] {
+    self->limit_.reset();
+    self->close(Outcome::timeout);
   });
 }
 
+void ServerConnection::written() {
+  if (errand_->message) upstream_.owner_.attempt_written(*errand_);
+  stage_ = Stage::waiting;
+  if (broken_) return broke();
+  if (!reads_) go_through();
+}
+
+// A long body passes on as it comes from the client. The time of the attempt counts from its last byte.
+void ServerConnection::start_upload() {
+  auto& upload = *errand_->message->upload;
+  if (const auto length = upload.length()) {
+    request_.content_length(*length);
+  } else {
+    request_.chunked(true);
+  }
+  expect_more(Outcome::timeout);
+  upload.on_more([weak = weak_from_this(), request = errand_->request] {
+    const auto self = weak.lock();
+    if (self && self->errand_ && self->errand_->request == request) self->write_more();
+  });
+  writes_ = true;
+  head_.emplace(request_);
+  http::async_write_header(socket_, *head_,
+                           [self = shared_from_this()](const error_code& failed, std::size_t) {
+                             self->writes_ = false;
+                             if (self->stage_ != Stage::writing) return;
+                             if (failed) return self->close(Outcome::connect_failed);
+                             self->write_more();
+                           });
+}
+
+void ServerConnection::write_more() {
+  if (stage_ != Stage::writing || writes_) return;
+  auto& upload = *errand_->message->upload;
+  if (upload.broken()) return close(Outcome::cancelled);
+  const bool last = upload.whole();
+  piece_ = upload.take();
+  if (!upload.length() && !piece_.empty()) {
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", piece_.size());
+    piece_.insert(0, size.data()).append("\r\n");
+  }
+  if (!upload.length() && last) piece_.append("0\r\n\r\n");
+  if (piece_.empty() && !last) return;  // told when there is more
+  writes_ = true;
+  asio::async_write(socket_, asio::buffer(piece_),
+                    [self = shared_from_this(), last](const error_code& failed, std::size_t) {
+                      self->writes_ = false;
+                      if (self->stage_ != Stage::writing) return;
+                      if (failed) return self->close(Outcome::connect_failed);
+                      if (!last) return self->expect_more(Outcome::timeout), self->write_more();
+                      auto& e = *self->errand_;
+                      const Time now = self->upstream_.timers_.now();
+                      e.deadline = now + (e.deadline - e.began);
+                      e.began = now;
+                      self->expect_outcome();
+                      self->written();
+                    });
+}
+
 void ServerConnection::read() {
   if (stage_ == Stage::closed || std::exchange(reads_, true)) return;
   socket_.async_read_some(buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize),
@@ -188,7 +251,7 @@
 void ServerConnection::pass_on() {
   auto& body = parser_->get().body();
   upstream_.timers_.cancel(limit_);
-  if (body.empty()) return expect_more(), read();
+  if (body.empty()) return expect_more(Outcome::reset), read();
   paused_ = true;
   upstream_.owner_.stream_piece(*errand_, body, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->go_on();
@@ -198,14 +261,15 @@
 
 void ServerConnection::go_on() {
   if (stage_ == Stage::closed || !std::exchange(paused_, false)) return;
-  expect_more();
+  expect_more(Outcome::reset);
   read();
 }
 
-void ServerConnection::expect_more() {
-  limit_ = upstream_.timers_.after(facts::kStalled, [self = shared_from_this()] {
+void ServerConnection::expect_more(Outcome otherwise) {
+  upstream_.timers_.cancel(limit_);
+  limit_ = upstream_.timers_.after(facts::kStalled, [self = shared_from_this(), otherwise] {
     self->limit_.reset();
-    self->close(Outcome::reset);
+    self->close(otherwise);
   });
 }
 
@@ -213,6 +277,7 @@
 void ServerConnection::broke() {
   if (stage_ == Stage::writing) {
     // How much was written shows when the write ends.
+    if (errand_->message && errand_->message->upload && !writes_) return close(Outcome::connect_failed);
     broken_ = true;
     error_code ignored;
     socket_.cancel(ignored);
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
@@ -17,33 +18,6 @@
 
 namespace snowknot {
 
-// A body that is taken out as it comes: nothing is set aside for what is still to come.
-struct PieceBody {
-  using value_type = std::string;
-  static std::uint64_t size(const value_type& body) { return body.size(); }
-  class reader {
-   public:
-    template <bool isRequest, class Fields>
-    explicit reader(http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
-    void init(const boost::optional<std::uint64_t>&, error_code& failed) { failed = {}; }
-    template <class Buffers>
-    std::size_t put(const Buffers& buffers, error_code& failed) {
-      failed = {};
-      std::size_t bytes = 0;
-      for (auto it = asio::buffer_sequence_begin(buffers); it != asio::buffer_sequence_end(buffers); ++it) {
-        const asio::const_buffer part(*it);
-        body_.append(static_cast<const char*>(part.data()), part.size());
-        bytes += part.size();
-      }
-      return bytes;
-    }
-    void finish(error_code& failed) { failed = {}; }
-
-   private:
-    value_type& body_;
-  };
-};
-
 // What is to be done on one connection: an attempt of a request, or a probe if there is no message.
 struct Errand {
   RequestId request{};
@@ -77,13 +51,17 @@
   void on_read(const error_code& failed, std::size_t bytes);
   void broke();
   void go_through();
+  void write_more();
+  void written();
   void finish();
   bool take_bytes();
   void expect_answer();
   bool long_answer() const;
   void hold();
   void begin_stream();
-  void expect_more();
+  void expect_more(Outcome otherwise);
+  void expect_outcome();
+  void start_upload();
   void pass_on();
   void end(Outcome outcome, Answer answer);
 
@@ -93,6 +71,9 @@
   boost::beast::flat_buffer buffer_;
   std::optional<http::response_parser<PieceBody>> parser_;
   http::request<http::span_body<const char>> request_;
+  std::optional<http::request_serializer<http::span_body<const char>>> head_;  // of a long body
+  std::string piece_;
+  bool writes_ = false;  // a piece of it is being written
   std::optional<Errand> errand_;
   Timers::Handle limit_, hold_;
   Stage stage_ = Stage::connecting;
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -110,6 +110,7 @@
     error_code ignored;
     acceptor_.close(ignored);
   }
+  void on(std::function<void(Wire&)> handler) { on_ = std::move(handler); }
   Tcp::endpoint at() const { return at_; }
   std::string text() const { return "127.0.0.1:" + std::to_string(at_.port()); }
 
