Make room for the next client when it comes, not before the newest was read

A full node gave up the session that had just been accepted: its bytes were not read yet, so it was the only idle one. Found by a test that had passed without the ordering it was meant for; the crowd test now fails without either.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -486,8 +486,7 @@
 
 void Clients::accept() {
   if (retired_) return;
-  if (sessions_.size() >= most_sessions_) make_room();
-  accepts_ = sessions_.size() < most_sessions_;
+  accepts_ = sessions_.size() < most_sessions_ || longest_silent();
   if (!accepts_) return;  // goes on when a session ends
   acceptor_.async_accept([this](const error_code& failed, Socket socket) {
     if (failed == asio::error::operation_aborted) return;
@@ -498,6 +497,8 @@
       return;
     }
     last_accept_ = timers_.now();
+    // Only now: the one that came before this one has been read from, and is not idle if it wrote.
+    if (sessions_.size() >= most_sessions_) make_room();
     const auto session = std::make_shared<ClientSession>(*this, std::move(socket));
     sessions_.insert(session);
     session->start();
@@ -508,14 +509,18 @@
 // Gives up the session that has idled longest; if none idles, the one of whose request nothing has come for
 // longest: of a crowd that stops half way those who go on writing are kept. A
 // request that has come whole is never given up.
-void Clients::make_room() {
+std::shared_ptr<ClientSession> Clients::longest_silent() const {
   std::shared_ptr<ClientSession> oldest;
   const auto before = [](const auto& a, const auto& b) {
     return std::pair(!a->idle(), a->heard()) < std::pair(!b->idle(), b->heard());
   };
   for (const auto& s : sessions_)
     if (s->expendable() && (!oldest || before(s, oldest))) oldest = s;
-  if (oldest) oldest->close();
+  return oldest;
+}
+
+void Clients::make_room() {
+  if (const auto session = longest_silent()) session->close();
 }
 
 void Clients::forget(const std::shared_ptr<ClientSession>& session) {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -151,6 +151,7 @@
 
   void begin();
   void accept();
+  std::shared_ptr<ClientSession> longest_silent() const;
   void make_room();
   void sweep();
   void forget(const std::shared_ptr<ClientSession>& session);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -515,6 +515,8 @@
     call("GET", "/ready");  // so that the node has taken what came before
     ASSERT_FALSE(slow->ended) << i;
     if (i % 5 == 0) slow->send(rest.substr(static_cast<std::size_t>(i / 5), 1));
+    if (i != 40) continue;
+    EXPECT_EQ(status(Ask{.id = "new"}), 200);  // while all places are taken by the crowd
   }
   slow->send(rest.substr(12));
   EXPECT_EQ(status(slow), 200);
