Count open places by this window's leases; give each gateway its part of the servers

Two causes, found and measured one after the other; each has its tests in gateway_test.cpp.

The customers come through 34 nodes, so places() gives each at least one, 34 in all, and no node more than one where it sees ten requests a second; what the others do was known from a window long past. Now, where the even part is under one place, what the others have leased of this very window decides, and it is looked at again when the lease comes with a fresh total. Ruled out: windows that admit more than the store (no send beyond the rate in that plan). At fault: places(), settle_waiting().

Seen: each node sees 0.1 requests a second of each of 60 servers, so what it learned of one is 10 s old; nearly every node connects to 45 or more. Now each node keeps to an even part of the list, counted off in rounds by its number so that every server has about 16 nodes, with the next in order as spares for those ejected; in a fleet of three that is the whole list. Turned down: rendezvous hashing per node, as the number of nodes at a server would then vary by a quarter. At fault: choose(), which scanned every server.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,17 +55,19 @@
 constexpr double kLeastBound = 0.1;  // own requests in flight: fewer would never show that servers recovered
 constexpr double kLateShare = 0.6;  // an answer past this part of its aim says that the servers hold too many
 constexpr double kBoundCut = 0.1;   // part of the bound taken off for each such answer: halved in about 7
-constexpr double kBoundRise = 0.15;  // requests added for each answer in good time at a used bound
-constexpr double kBoundUsed = 0.8;   // "nearly used"
-constexpr double kParkShare = 0.3;   // part of the aim that a request may wait for a place; later is too late
-constexpr double kSameTime = 0.01;   // part of a try's time by which two that are the same may differ
-constexpr double kRetryEarn = 0.1;   // further attempts earned per request: keeps retries under a tenth
-constexpr double kRetryMost = 10;    // and how many can be saved up
-constexpr double kPatience = 10;     // expected latencies before an attempt counts as stuck
-constexpr double kPlaceSpan = 2;     // expected latencies until a place of a gateway that left is likely free
-constexpr double kZoneWeight = 20;   // how strongly the price of crossing zones weighs in the choice
-constexpr Duration kLogGap = 10s;    // a server that comes and goes is told of once in so long
-constexpr Duration kSweep = 250ms;   // period of the housekeeping
+constexpr double kBoundRise = 0.15;        // requests added for each answer in good time at a used bound
+constexpr double kBoundUsed = 0.8;         // "nearly used"
+constexpr double kLeastServers = 8;        // warm servers that a gateway shares its requests among, at least
+constexpr double kGatewaysPerServer = 16;  // and gateways that share a server, so that their chance evens out
+constexpr double kParkShare = 0.3;  // part of the aim that a request may wait for a place; later is too late
+constexpr double kSameTime = 0.01;  // part of a try's time by which two that are the same may differ
+constexpr double kRetryEarn = 0.1;  // further attempts earned per request: keeps retries under a tenth
+constexpr double kRetryMost = 10;   // and how many can be saved up
+constexpr double kPatience = 10;    // expected latencies before an attempt counts as stuck
+constexpr double kPlaceSpan = 2;    // expected latencies until a place of a gateway that left is likely free
+constexpr double kZoneWeight = 20;  // how strongly the price of crossing zones weighs in the choice
+constexpr Duration kLogGap = 10s;   // a server that comes and goes is told of once in so long
+constexpr Duration kSweep = 250ms;  // period of the housekeeping
 
 // A count of events that forgets: each weighs e^-1 after `span`.
 struct Recent {
@@ -484,13 +486,18 @@
   // How many of the plan's places are this gateway's: what the others are likely to leave, by the rate at
   // which they lease and the time that an answer takes, but at least an even part. Guards against refusing
   // at one gateway while places are free at the others, as a customer's requests come unevenly. It can hurt
-  // for moments after a customer has moved.
+  // for moments after a customer has moved. Where the even part is less than one place, what the others have
+  // leased in this very window decides; a request for which that is not known yet may ask.
   std::uint32_t places(const Request& r, const Lease& l) const {
     const auto cap = at(set_.plans, r.plan).max_open;
-    const auto even = std::max(1u, cap / std::max(1u, r.gateways));
-    if (l.elsewhere < 0) return even;
-    const double out = l.elsewhere / std::max(r.units, kUnitSlop) * expected(r);
-    const double left = cap - out - std::sqrt(out);  // with room for chance
+    const auto even = cap / std::max(1u, r.gateways);
+    const auto& t = terms(r);
+    if (l.elsewhere < 0 || !t.metered) return std::max(1u, even);
+    const auto since = l.called_at - (book_.window_end(r.customer, t, l.window) - t.window);
+    if (even == 0 && since < Duration{}) return cap;
+    const double span = even == 0 ? std::min(expected(r), seconds(since)) : expected(r);
+    const double out = l.elsewhere / std::max(r.units, kUnitSlop) * span;
+    const double left = even == 0 ? cap - out : cap - out - std::sqrt(out);  // with room for chance
     return std::max(even, static_cast<std::uint32_t>(std::max(left, 0.0)));
   }
 
@@ -656,7 +663,8 @@
     if (done.quantum > 0 && done.window == l.window) {
       const auto gone = std::max(1 - seconds(until_roll(done.customer, l)) / seconds(t.window), kLeastGone);
       l.over = total / t.limit / gone;
-      l.elsewhere = std::max(0.0, total - u.added) / (gone * seconds(t.window));
+      const auto since = now_ - (book_.window_end(done.customer, t, l.window) - t.window);
+      l.elsewhere = std::max(0.0, total - u.added) / seconds(std::max(since, Duration(1ms)));
       l.called_at = now_;
     }
     u.held += done.quantum - excess;
@@ -672,7 +680,10 @@
     while (!l.waiting.empty()) {
       const auto id = l.waiting.front();
       auto& r = requests_.at(id);
-      if (take(r, l)) {
+      if (r.holds_place && l.open > places(r, l)) {
+        l.waiting.pop_front();
+        refuse(id, r, back_off());
+      } else if (take(r, l)) {
         l.waiting.pop_front();
         send_on(id, r);
       } else if (l.now.empty) {
@@ -702,6 +713,7 @@
       if (restarted) start_cold(s, *entry.started);
     }
     std::erase_if(servers_, [](const auto& e2) { return !e2.second.listed && e2.second.in_flight == 0; });
+    put_in_order();
   }
 
   // Out by hand is kept by id, apart from the list and from health, so that neither clears it. One put back
@@ -825,17 +837,48 @@
     return l > 0 ? l : seconds(cls(r).aim) / 8;  // before the first answer
   }
 
+  // How many warm servers' worth this gateway shares its requests among, so that each server still has a few
+  // gateways whose requests even out. Guards against what is harmless at one gateway and adds up over a large
+  // fleet: connections and handshakes to every server, and so few requests to each that what was learned of it
+  // is out of date. In a small fleet that is all of them.
+  double own_part() const {
+    return std::max(kLeastServers, kGatewaysPerServer * static_cast<double>(order_.size()) / set_.fleet_size);
+  }
+
+  // All servers, those that are this gateway's first and then its spares. Gateways are counted off in rounds;
+  // one round's gateways share the whole list evenly between them, and each round shuffles it anew.
+  void put_in_order() {
+    order_.clear();
+    for (auto& [id, s] : servers_) order_.push_back(&s);
+    const auto groups = static_cast<std::size_t>(
+        std::max(1.0, static_cast<double>(order_.size()) / std::max(1.0, own_part())));
+    const std::size_t round = set_.index / groups, place = set_.index % groups;
+    if (groups == 1) return;
+    const auto lot = [&](const Server* s) {
+      return mix(mix(round) ^ static_cast<std::uint64_t>(s->info.id));
+    };
+    std::ranges::sort(order_, {}, lot);
+    std::ranges::rotate(order_, order_.begin() + static_cast<std::ptrdiff_t>(place * order_.size() / groups));
+  }
+
   Pick choose(const Request& r, ServerId& chosen) {
     double best = std::numeric_limits<double>::infinity();
     bool any = false, sound = false, warm = false;
-    double capacity = 0;  // of all that is sound, in warm servers
+    double capacity = 0;  // of those looked at that are sound, in warm servers
     const bool room = in_flight_ + r.lot < bound();
-    for (const auto& [id, s] : servers_) {
+    const double enough = own_part();
+    std::size_t looked_at = 0;
+    for (const auto* server : order_) {
+      const auto& s = *server;
+      ++looked_at;
       if (!usable(s) || ejected(s)) continue;
       sound = sound || may_go_to(r, s), warm = warm || !is_cold(s);
       capacity += is_cold(s) ? warmth(s) : 1;
+      if (sound && capacity >= enough) break;
     }
-    for (auto& [id, s] : servers_) {
+    for (std::size_t i = 0; i < looked_at; ++i) {
+      auto& s = *order_[i];
+      const auto id = s.info.id;
       if (!may_go_to(r, s)) continue;
       any = true;
       if (!room) break;
@@ -1081,6 +1124,7 @@
   std::vector<Action> out_;
   LeaseBook book_;
   std::map<ServerId, Server> servers_;
+  std::vector<Server*> order_;                   // all of them, as this gateway prefers them
   std::multimap<Time, CustomerId> places_left_;  // taken by a predecessor's requests, until likely free
   bool leaves_ = false;                          // a successor has taken over
   std::set<ServerId> left_out_;                  // by hand
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -179,6 +179,30 @@
   EXPECT_EQ(admitted(15), 3);
 }
 
+// Six places and 100 gateways: no even part. What the others lease of this very window decides, when it is told.
+TEST(OpenCap, WhereThereAreMoreGatewaysThanPlacesTheWindowsLeasesDecide) {
+  const auto admitted = [](double leased_elsewhere) {
+    auto s = settings();
+    s.fleet_size = 100;
+    s.plans[0].max_open = 6;
+    s.plans[0].rate = 20;  // a window lasts 1 s
+    Host h(s);
+    h.servers(40);
+    h.now += 5s;  // calls are saved up
+    int n = 0;
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+      h.give(Arrival{RequestId{i}, ClassIndex{0}, PlanIndex{0}, CustomerId{1}, 1s, 1, 100, false});
+      if (const auto calls = h.all<AddToCount>(); !calls.empty())
+        h.count(calls[0], static_cast<double>(i) + leased_elsewhere);
+      n += h.has<Send>();
+      if (h.has<Refuse>()) break;
+    }
+    return n;
+  };
+  EXPECT_GE(admitted(0), 2);  // more than one, though not its part
+  EXPECT_EQ(admitted(12), 0);
+}
+
 TEST(OpenCap, AnAttemptThatItsClientLeftBehindKeepsItsPlace) {
   auto s = settings();
   s.plans[0].max_open = 1;
@@ -990,5 +1014,85 @@
   EXPECT_FALSE(h.has<Send>() || h.has<Refuse>() || h.has<Fail>());
 }
 
+// A hundred gateways and sixty servers.
+struct ManyGateways {
+  std::vector<Host> hosts;
+  std::map<ServerId, std::set<std::size_t>> used_by;
+
+  ManyGateways() {
+    auto s = settings();
+    s.plans[0].rate = 0;
+    s.fleet_size = 100;
+    for (std::uint32_t i = 0; i < s.fleet_size; ++i) {
+      s.index = i;
+      hosts.emplace_back(s, 100 + i);
+      hosts.back().servers(60);
+    }
+  }
+  // Some requests at each, three of them out at once.
+  void work(Outcome (*answer)(ServerId)) {
+    used_by.clear();
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      std::deque<Send> out;
+      for (int n = 0; n < 60; ++n) {
+        hosts[i].now += 50ms;
+        hosts[i].ask();
+        for (const auto& send : hosts[i].all<Send>()) out.push_back(send), used_by[send.server].insert(i);
+        if (out.size() < 3) continue;
+        hosts[i].outcome(out.front(), answer(out.front().server), true, 100ms);
+        out.pop_front();
+      }
+      for (const auto& send : out) hosts[i].outcome(send, Outcome::ok, true, 100ms);
+    }
+  }
+  std::size_t most_servers_of_one() const {
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+      most = std::max<std::size_t>(
+          most, std::ranges::count_if(used_by, [&](const auto& e) { return e.second.contains(i); }));
+    return most;
+  }
+};
+
+TEST(Choice, EachOfManyGatewaysKeepsToItsPartAndEveryServerIsShared) {
+  ManyGateways fleet;
+  fleet.work([](ServerId) { return Outcome::ok; });
+  EXPECT_LE(fleet.most_servers_of_one(), 15u);
+  EXPECT_EQ(fleet.used_by.size(), 60u);
+  for (const auto& [server, gateways] : fleet.used_by) EXPECT_GE(gateways.size(), 8u);
+}
+
+TEST(Choice, AServerThatFailsGivesWayToASpare) {
+  ManyGateways fleet;
+  const auto half_refuse = [](ServerId id) {
+    return static_cast<std::uint32_t>(id) % 2 == 0 ? Outcome::connect_failed : Outcome::ok;
+  };
+  fleet.work(half_refuse);
+  for (auto& h : fleet.hosts) {  // five more at once
+    std::set<ServerId> used;
+    for (int n = 0; n < 5; ++n) {
+      h.ask();
+      for (const auto& send : h.all<Send>()) used.insert(send.server);
+    }
+    EXPECT_GE(used.size(), 4u);
+    const auto refusing = [&](ServerId id) { return half_refuse(id) != Outcome::ok; };
+    EXPECT_LE(std::ranges::count_if(used, refusing), 2);  // one whose time out has passed may be tried again
+  }
+}
+
+TEST(Choice, AFewGatewaysUseEveryServer) {
+  auto s = settings();
+  s.plans[0].rate = 0;
+  s.fleet_size = 3;
+  Host h(s);
+  h.servers(12);
+  std::set<ServerId> used;
+  for (int n = 0; n < 12; ++n) {
+    h.ask();
+    for (const auto& send : h.all<Send>()) used.insert(send.server);
+  }
+  EXPECT_EQ(used.size(), 12u);
+}
+
 }  // namespace
 }  // namespace snowknot::test
