Let a leased request wait for an open place instead of refusing it

A unit that is leased and then refused stands in the window's count for the rest of the window: the other nodes take it for a request that is out, and refuse more. At fault: settle_waiting(), which refused. A leased request now waits, within the time that requests may wait anyway, until what is known says that a place is free.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -147,6 +147,7 @@
   Time called_at{};
   double elsewhere = -1;   // units a second that other gateways lease, by the last answer; below 0: not known
   std::uint32_t open = 0;  // places taken by requests that wait or are out, for plans that cap them
+  std::uint32_t out = 0;   // and by those of them that are out
   std::deque<RequestId> waiting;
 };
 
@@ -503,6 +504,13 @@
     return std::max(even, static_cast<std::uint32_t>(std::max(left, 0.0)));
   }
 
+  // Whether the one more that a request would be has no place now, by what its lease has told since it asked.
+  bool waits_for_place(const Request& r) const {
+    if (!r.holds_place || at(set_.plans, r.plan).max_open >= r.gateways) return false;
+    const auto* l = find(book_.leases, r.customer);
+    return l && l->out >= places(r, *l);
+  }
+
   bool take(Request& r, Lease& l) {
     if (l.now.held + kUnitSlop < r.units) return false;
     l.now.held -= r.units;
@@ -682,10 +690,7 @@
     while (!l.waiting.empty()) {
       const auto id = l.waiting.front();
       auto& r = requests_.at(id);
-      if (r.holds_place && l.open > places(r, l)) {
-        l.waiting.pop_front();
-        refuse(id, r, back_off());
-      } else if (take(r, l)) {
+      if (take(r, l)) {
         l.waiting.pop_front();
         send_on(id, r);
       } else if (l.now.empty) {
@@ -955,7 +960,7 @@
       if (l.window != r.window) return r.holds_units = false, admit(id, r);
     }
     ServerId server{};
-    const auto pick = choose(r, server);
+    const auto pick = waits_for_place(r) ? Pick::wait : choose(r, server);
     if (pick == Pick::server) return send(id, r, server);
     if (pick == Pick::none || now_ >= send_by(r)) return refuse(id, r, back_off());
     if (r.stage != Stage::parked) parked_.push_back(id);
@@ -965,7 +970,10 @@
 
   void send(RequestId id, Request& r, ServerId server) {
     auto& s = servers_.at(server);
-    if (!r.attempts.empty()) retry_tokens_ -= 1;
+    if (!r.attempts.empty())
+      retry_tokens_ -= 1;
+    else if (r.holds_place)
+      ++book_.leases[r.customer].out;
     r.holds_units = false, r.stage = Stage::sent;
     if (is_cold(s)) s.credit -= 1;
     ++s.in_flight, ++in_flight_;
@@ -1034,7 +1042,10 @@
   void forget_if_done(RequestId id) {
     const auto* r = find(requests_, id);
     if (!r || r->stage != Stage::ended || r->out() > 0) return;
-    if (auto* l = find(book_.leases, r->customer); l && r->holds_place) --l->open;
+    if (auto* l = find(book_.leases, r->customer); l && r->holds_place) {
+      --l->open;
+      if (!r->attempts.empty()) --l->out;
+    }
     requests_.erase(id);
   }
 
@@ -1056,6 +1067,10 @@
       parked_.pop_front();
       auto* r = find(requests_, id);
       if (!r || r->stage != Stage::parked) continue;
+      if (waits_for_place(*r)) {
+        parked_.push_back(id);
+        continue;
+      }
       ServerId server{};
       if (choose(*r, server) == Pick::wait) return parked_.push_front(id);
       r->stage = Stage::leasing;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -205,6 +205,27 @@
   EXPECT_GE(admitted(12, 300ms), 1);  // these have ended by then: an answer takes 100 ms
 }
 
+// Its unit is counted as used by all others: it is spent a little later rather than not at all.
+TEST(OpenCap, ALeasedRequestWaitsForAPlaceAndNoLongerThanItsAnswerCanBeInTime) {
+  auto s = settings();
+  s.fleet_size = 100;
+  s.plans[0].max_open = 6;
+  s.plans[0].rate = 20;  // a window lasts 1 s
+  Host h(s);
+  h.servers(40);
+  h.now += 5s;  // calls are saved up
+  const auto ask = [&](std::uint64_t id) {
+    h.give(Arrival{RequestId{id}, ClassIndex{0}, PlanIndex{0}, CustomerId{1}, 1s, 1, 100, false});
+  };
+  ask(1);
+  h.count(h.all<AddToCount>().at(0), 13);
+  EXPECT_FALSE(h.has<Send>());
+  EXPECT_FALSE(h.has<Refuse>());
+  h.now += 200ms;  // an answer takes 100 ms
+  h.give(TimerDue{TimerId{1}});
+  EXPECT_TRUE(h.has<Send>());
+}
+
 TEST(OpenCap, AnAttemptThatItsClientLeftBehindKeepsItsPlace) {
   auto s = settings();
   s.plans[0].max_open = 1;
