Send cold servers more of what the rule lets them bear

Seen: counted over the fleet, at 14 s the 24 old servers hold 17 requests each and answer in 1.8 s, while the 36 new ones hold 3 and answer in 0.4 to 0.7 s. They are reckoned by the slowest warm-up that the settings allow. Ruled out: health (no failures), late news (the list names them within 2 s). At fault: earn_credit(). A cold server now earns 0.6 of fall_multiple times its share at most, less if it answers slower than others.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,9 +55,10 @@
 constexpr double kLeastBound = 0.1;  // own requests in flight: fewer would never show that servers recovered
 constexpr double kLateShare = 0.6;  // an answer past this part of its aim says that the servers hold too many
 constexpr double kBoundCut = 0.1;   // part of the bound taken off for each such answer: halved in about 7
-constexpr double kBoundRise = 0.15;        // requests added for each answer in good time at a used bound
-constexpr double kBoundUsed = 0.8;         // "nearly used"
-constexpr double kLeastServers = 6;        // warm servers that a gateway shares its requests among, at least
+constexpr double kBoundRise = 0.15;  // requests added for each answer in good time at a used bound
+constexpr double kBoundUsed = 0.8;   // "nearly used"
+constexpr double kColdPush = 0.6;    // of the multiple of its capacity that a cold server bears, sent to it
+constexpr double kLeastServers = 6;  // warm servers that a gateway shares its requests among, at least
 constexpr double kGatewaysPerServer = 10;  // and gateways that share a server, so that their chance evens out
 constexpr double kParkShare = 0.3;  // part of the aim that a request may wait for a place; later is too late
 constexpr double kSameTime = 0.01;  // part of a try's time by which two that are the same may differ
@@ -752,13 +753,16 @@
   }
 
   // A cold server earns its warm-up share of what this gateway is answered for each server's worth of
-  // capacity (with no warm server: of what comes in for each server); over all gateways that is its share in
-  // all. Its first part is drawn by lot, as in a large fleet each sends a server less than one request in
-  // its warm-up.
-  void earn_credit(Server& s, bool any_warm, double capacity) {
+  // capacity (with no warm server: of what comes in for each of those looked at); over all gateways that is
+  // its share in all. As the share is that of the slowest warm-up there can be, it is sent more, within what
+  // the rule lets it bear, while it answers no slower than others. Its first part is drawn by lot, as in a
+  // large fleet each sends a server less than one request in its warm-up.
+  void earn_credit(Server& s, bool any_warm, double capacity, std::size_t looked_at) {
     const double each = any_warm ? answers_.rate(now_, kRateMemory) / capacity
-                                 : arrivals_.rate(now_, kRateMemory) / static_cast<double>(servers_.size());
-    s.credit = std::min(1.0, s.credit + seconds(now_ - s.credit_at) * each * warmth(s));
+                                 : arrivals_.rate(now_, kRateMemory) / static_cast<double>(looked_at);
+    const double push = std::max(1.0, kColdPush * set_.fall_multiple) / std::max(1.0, s.slowness);
+    const double part = std::min(1.0, push * warmth(s));
+    s.credit = std::min(1.0, s.credit + seconds(now_ - s.credit_at) * each * part);
     s.credit_at = now_;
   }
 
@@ -891,7 +895,7 @@
       if (!room) break;
       if (sound && ejected(s)) continue;  // when all look bad, they are used rather than none
       if (is_cold(s)) {
-        earn_credit(s, warm, capacity);
+        earn_credit(s, warm, capacity, looked_at);
         if (s.credit < 1) continue;
       }
       double cost = s.slowness * (s.load + expected(r)) / std::max(0.1, s.success);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
 #include <set>
+#include <tuple>
 
 #include "host.hpp"
 
@@ -739,6 +741,64 @@
   EXPECT_LE(cold, all / 20);
 }
 
+// A hundred gateways on one clock, and half of sixty servers replaced at once. Each new one gets a good part of its share
+// by the slowest warm-up, and the sum of all gateways' sends stays within what the rule lets it bear.
+TEST(Servers, AFleetSendsReplacedServersWhatTheyCanBearAndNoMore) {
+  auto s = settings();
+  s.fleet_size = 100;
+  s.plans[0].rate = 0;
+  s.fall_multiple = 2.5, s.fall_time = 1s;
+  std::vector<Host> hosts;
+  for (std::uint32_t i = 0; i < s.fleet_size; ++i) {
+    s.index = i;
+    hosts.emplace_back(s, 500 + i);
+    hosts.back().servers(60);
+  }
+  std::mt19937_64 rng(11);
+  std::deque<std::tuple<Time, std::size_t, Send>> out;
+  std::map<ServerId, std::vector<Time>> sends;
+  Time now{1h};
+  const auto run = [&](Duration time) {
+    for (const Time end = now + time; now < end; now += 25ms) {
+      for (; !out.empty() && std::get<0>(out.front()) <= now; out.pop_front()) {
+        auto& [at, i, send] = out.front();
+        hosts[i].now = now;
+        hosts[i].outcome(send, Outcome::ok, true, 100ms);
+      }
+      for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (rng() % 5 != 0) continue;  // eight requests a second
+        hosts[i].now = now;
+        hosts[i].ask();
+        for (const auto& send : hosts[i].all<Send>())
+          out.emplace_back(now + 100ms, i, send), sends[send.server].push_back(now);
+      }
+    }
+  };
+  run(5s);
+  const Time start = now;
+  ListUpdate replaced{ListKind::changes, {}};
+  for (std::uint32_t id = 1; id <= 30; ++id) replaced.entries.push_back({.id = ServerId{id}, .started = now});
+  for (auto& h : hosts) h.now = now, h.give(replaced);
+  sends.clear();
+  run(6s);
+  const auto between = [&](ServerId id, Time from, Time to) {
+    return static_cast<double>(std::ranges::count_if(sends[id], [&](Time t) { return from <= t && t < to; }));
+  };
+  double got = 0, share = 0;
+  for (Time t = start; t < start + 5s; t += 1s) {
+    double warm = 0;
+    for (std::uint32_t id = 31; id <= 60; ++id) warm += between(ServerId{id}, t, t + 1s) / 30;
+    const double warmth = s.start_capacity + (1 - s.start_capacity) * ((t - start) / 1s) / 10.0;
+    const double most = s.fall_multiple * warmth * warm;
+    for (std::uint32_t id = 1; id <= 30; ++id) {
+      got += between(ServerId{id}, t, t + 1s), share += warmth * warm;
+      EXPECT_LE(between(ServerId{id}, t, t + 1s), most + 2 * std::sqrt(most));
+    }
+  }
+  EXPECT_GE(got, 0.6 * share);
+  EXPECT_LE(got, 2 * share);
+}
+
 TEST(Servers, WhenAllAreColdTheyShareWhatComesIn) {
   Host h;
   h.servers(4, Time{1h});
