Come back to a lost counter sooner, and not in step

Seen: after its return the nodes' first answers spread over 0.9 s: a connection to a lost machine never comes up, is given up after 1 s, and the next try waits up to 1 s more, without jitter. At fault: kConnectLimit and kLongestBackoff in counter.cpp, meant for discovery, which nobody waits for.

--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <random>
 
 #include "facts.hpp"
 
@@ -13,15 +14,22 @@
 
 class Counter::Link : public std::enable_shared_from_this<Link> {
  public:
-  Link(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told)
-      : timers_(timers), at_(at), timeout_(timeout), told_(std::move(told)), socket_(io.get_executor()) {}
+  Link(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
+       std::uint64_t seed)
+      : timers_(timers),
+        at_(at),
+        timeout_(timeout),
+        told_(std::move(told)),
+        socket_(io.get_executor()),
+        random_(seed) {}
 
   bool tried() const { return tried_; }
 
   void connect() {
     stage_ = Stage::connecting;
     const auto number = ++life_;
-    guard_ = timers_.after(facts::kConnectLimit, [self = shared_from_this()] {
+    // Soon: one that was lost with its machine says nothing, and a connection never comes up.
+    guard_ = timers_.after(facts::kCounterConnect * timeout_, [self = shared_from_this()] {
       self->guard_.reset();
       self->lose();
     });
@@ -172,8 +180,9 @@
     auto waiting = std::exchange(waiting_, {});
     for (auto& c : sent) tell(c, write_ended && c.end > 0 ? CountOutcome::refused : CountOutcome::timeout);
     for (auto& c : waiting) tell(c, CountOutcome::refused);
-    backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestBackoff);
-    guard_ = timers_.after(backoff_, [self = shared_from_this()] {
+    backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestCounterBackoff);
+    const auto wait = std::uniform_int_distribution(backoff_.count() / 2, backoff_.count())(random_);
+    guard_ = timers_.after(Duration(wait), [self = shared_from_this()] {
       self->guard_.reset();
       self->connect();
     });
@@ -208,13 +217,15 @@
   std::array<char, facts::kReadSize> space_{};
   Timers::Handle guard_;
   Duration backoff_{};
+  std::mt19937_64 random_;  // so that a fleet's nodes do not come back in step
   Time heard_{};
   bool tried_ = false;
 };
 
-Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told) {
+Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
+                 std::uint64_t seed) {
   for (std::size_t i = 0; i < facts::kCounterLinks; ++i) {
-    links_.push_back(std::make_shared<Link>(io, timers, at, timeout, told));
+    links_.push_back(std::make_shared<Link>(io, timers, at, timeout, told, seed + i));
     links_.back()->connect();
   }
 }
--- a/src/node/counter.hpp
+++ b/src/node/counter.hpp
@@ -16,7 +16,8 @@
  public:
   using Told = std::function<void(const CountAnswer&)>;
 
-  Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told);
+  Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
+          std::uint64_t seed = 0);
   ~Counter();
 
   void add(CountName name, double amount, Duration lifetime);
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -54,9 +54,11 @@
 inline constexpr std::size_t kMostList = 16UL << 20U;  // bytes of one line of the watch
 inline constexpr std::size_t kCounterLinks = 4;        // connections: a crowded part holds up only its own
 inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
-inline constexpr Duration kFirstBackoff = 50ms;        // before a connection is tried again; doubles
-inline constexpr Duration kLongestBackoff = 1s;        //
-inline constexpr Duration kConnectLimit = 1s;  // for a connection to discovery or the counter to come up
+inline constexpr int kCounterConnect = 4;              // time-outs for a connection to it to come up
+inline constexpr Duration kLongestCounterBackoff = 250ms;  // every request waits for it
+inline constexpr Duration kFirstBackoff = 50ms;            // before a connection is tried again; doubles
+inline constexpr Duration kLongestBackoff = 1s;            //
+inline constexpr Duration kConnectLimit = 1s;              // for a connection to discovery to come up
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,8 +37,9 @@
 }
 
 std::unique_ptr<Counter> Node::new_counter() {
-  return std::make_unique<Counter>(io_, timers_, *config_.counter, config_.named.settings.counter_timeout,
-                                   [this](const CountAnswer& a) { happened(a); });
+  return std::make_unique<Counter>(
+      io_, timers_, *config_.counter, config_.named.settings.counter_timeout,
+      [this](const CountAnswer& a) { happened(a); }, config_.seed);
 }
 
 void Node::start() {
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -1,6 +1,8 @@
 // The counter's client over loopback sockets.
 #include "counter.hpp"
 
+#include <list>
+
 #include "facts.hpp"
 #include "peers.hpp"
 
@@ -107,6 +109,22 @@
   }));
 }
 // A machine that vanished keeps its connections open and silent: after some time-outs a new one is tried.
+// As one whose machine is lost: its queue of connections is full, and no further one comes up.
+TEST_F(CounterTest, AConnectionThatNeverComesUpIsGivenUpSoon) {
+  Tcp::acceptor full(loop.io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), false);
+  full.listen(0);
+  std::list<Socket> queued;
+  for (int i = 0; i < 8; ++i) {
+    queued.emplace_back(loop.io.get_executor());
+    queued.back().async_connect(full.local_endpoint(), [](const error_code&) {});
+  }
+  bool late = false;
+  counter.emplace(loop.io, timers, full.local_endpoint(), 50ms,
+                  [this](const CountAnswer& a) { told.push_back(a); });
+  timers.after(700ms, [&] { late = true; });  // a second would be half of a short outage once more
+  ASSERT_TRUE(loop.until([&] { return late || counter->tried(); }));
+  EXPECT_FALSE(late);
+}
 TEST_F(CounterTest, SilentConnectionIsReplaced) {
   Peer server(loop.io);
   start(server.at(), 20ms);
