--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -849,9 +849,9 @@
   }
 
   // How many warm servers' worth this gateway shares its requests among, so that each server still has a few
-  // gateways whose requests even out. Guards against what is harmless at one gateway and adds up over a large
-  // fleet: connections and handshakes to every server, and so few requests to each that what was learned of it
-  // is out of date. In a small fleet that is all of them.
+  // gateways whose requests even out. Guards against what is harmless at one gateway and adds up over a
+  // large fleet: connections and handshakes to every server, and so few requests to each that what was
+  // learned of it is out of date. In a small fleet that is all of them.
   double own_part() const {
     return std::max(kLeastServers, kGatewaysPerServer * static_cast<double>(order_.size()) / set_.fleet_size);
   }
