One name: programs, namespace and include path are called petrelrail

Need: the programs were built as docklift and snowknot_benchlink, with a namespace and an include path of a third name; staff look for petrelrail.

Change: pure renaming. build/petrelrail and build/petrelrail_drill, namespace petrelrail, include/petrelrail, petrelrail::gateway for users of the package, PETRELRAIL_ options; deploy file, tests and documents likewise. The socket of a hand-over is called petrelrail-ADDRESS.sock now: a first upgrade across this version finds no predecessor and starts by itself.

--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -10,12 +10,12 @@
 git worktree prune
 git worktree add --detach "$at/tree" "$rev" >/dev/null 2>&1
 build() {  # tree, folder, program
-  cmake -S "$1" -B "$2" -DCMAKE_BUILD_TYPE=Release -DSNOWKNOT_BENCHLINK=OFF >/dev/null
-  cmake --build "$2" --target docklift_node -j "$(nproc)" >/dev/null
+  cmake -S "$1" -B "$2" -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_DRILL=OFF >/dev/null
+  cmake --build "$2" --target petrelrail_node -j "$(nproc)" >/dev/null
   g++ -std=c++20 -O2 -fno-builtin-memcpy -fno-builtin-memmove -fno-tree-loop-distribute-patterns \
     -DBOOST_ASIO_SEPARATE_COMPILATION -DBOOST_BEAST_SEPARATE_COMPILATION -DBOOST_ASIO_NO_DEPRECATED \
     -I"$1/include" -I"$1/src" -I"$1/src/node" -I"$1/tests" bench/cost.cpp \
-    "$2/libdocklift_node.a" "$2/libsnowknot.a" -lpthread -ldl -o "$3"
+    "$2/libpetrelrail_node.a" "$2/libpetrelrail_gateway.a" -lpthread -ldl -o "$3"
 }
 build "$PWD" "$at/here" "$at/cost-here"
 build "$at/tree" "$at/there" "$at/cost-there"
--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -44,29 +44,29 @@
 
 // ---- Interposed: the C library's calls go through here ----------------------------------------------------
 
-#define SNOWKNOT_COUNT(figure, type, name, parameters, arguments) \
-  extern "C" type name parameters {                               \
-    static const auto next = real<type(*) parameters>(#name);     \
-    counted.figure += counting;                                   \
-    return next arguments;                                        \
+#define COUNT_CALLS(figure, type, name, parameters, arguments) \
+  extern "C" type name parameters {                            \
+    static const auto next = real<type(*) parameters>(#name);  \
+    counted.figure += counting;                                \
+    return next arguments;                                     \
   }
-SNOWKNOT_COUNT(receives, ssize_t, recvmsg, (int fd, msghdr* m, int flags), (fd, m, flags))
-SNOWKNOT_COUNT(receives, ssize_t, recv, (int fd, void* to, size_t n, int flags), (fd, to, n, flags))
-SNOWKNOT_COUNT(receives, ssize_t, readv, (int fd, const iovec* v, int n), (fd, v, n))
-SNOWKNOT_COUNT(receives, ssize_t, read, (int fd, void* to, size_t n), (fd, to, n))
-SNOWKNOT_COUNT(sends, ssize_t, sendmsg, (int fd, const msghdr* m, int flags), (fd, m, flags))
-SNOWKNOT_COUNT(sends, ssize_t, send, (int fd, const void* from, size_t n, int flags), (fd, from, n, flags))
-SNOWKNOT_COUNT(sends, ssize_t, writev, (int fd, const iovec* v, int n), (fd, v, n))
-SNOWKNOT_COUNT(epoll_waits, int, epoll_wait, (int fd, epoll_event* e, int n, int limit), (fd, e, n, limit))
-SNOWKNOT_COUNT(epoll_changes, int, epoll_ctl, (int fd, int op, int at, epoll_event* e), (fd, op, at, e))
-SNOWKNOT_COUNT(timers, int, timerfd_settime, (int fd, int flags, const itimerspec* a, itimerspec* b),
-               (fd, flags, a, b))
-SNOWKNOT_COUNT(sockets, int, socket, (int domain, int type, int protocol), (domain, type, protocol))
-SNOWKNOT_COUNT(sockets, int, connect, (int fd, const sockaddr* at, socklen_t n), (fd, at, n))
-SNOWKNOT_COUNT(sockets, int, accept, (int fd, sockaddr* at, socklen_t* n), (fd, at, n))
-SNOWKNOT_COUNT(sockets, int, close, (int fd), (fd))
-SNOWKNOT_COUNT(sockets, int, setsockopt, (int fd, int level, int name, const void* v, socklen_t n),
-               (fd, level, name, v, n))
+COUNT_CALLS(receives, ssize_t, recvmsg, (int fd, msghdr* m, int flags), (fd, m, flags))
+COUNT_CALLS(receives, ssize_t, recv, (int fd, void* to, size_t n, int flags), (fd, to, n, flags))
+COUNT_CALLS(receives, ssize_t, readv, (int fd, const iovec* v, int n), (fd, v, n))
+COUNT_CALLS(receives, ssize_t, read, (int fd, void* to, size_t n), (fd, to, n))
+COUNT_CALLS(sends, ssize_t, sendmsg, (int fd, const msghdr* m, int flags), (fd, m, flags))
+COUNT_CALLS(sends, ssize_t, send, (int fd, const void* from, size_t n, int flags), (fd, from, n, flags))
+COUNT_CALLS(sends, ssize_t, writev, (int fd, const iovec* v, int n), (fd, v, n))
+COUNT_CALLS(epoll_waits, int, epoll_wait, (int fd, epoll_event* e, int n, int limit), (fd, e, n, limit))
+COUNT_CALLS(epoll_changes, int, epoll_ctl, (int fd, int op, int at, epoll_event* e), (fd, op, at, e))
+COUNT_CALLS(timers, int, timerfd_settime, (int fd, int flags, const itimerspec* a, itimerspec* b),
+            (fd, flags, a, b))
+COUNT_CALLS(sockets, int, socket, (int domain, int type, int protocol), (domain, type, protocol))
+COUNT_CALLS(sockets, int, connect, (int fd, const sockaddr* at, socklen_t n), (fd, at, n))
+COUNT_CALLS(sockets, int, accept, (int fd, sockaddr* at, socklen_t* n), (fd, at, n))
+COUNT_CALLS(sockets, int, close, (int fd), (fd))
+COUNT_CALLS(sockets, int, setsockopt, (int fd, int level, int name, const void* v, socklen_t n),
+            (fd, level, name, v, n))
 
 extern "C" void* memcpy(void* to, const void* from, size_t n) {
   counted.moved += counting ? n : 0;
@@ -98,7 +98,7 @@
 }
 void operator delete(void* p, std::size_t) noexcept { operator delete(p); }
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 double processor_time() {
@@ -107,8 +107,8 @@
   return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
 }
 std::size_t descriptors() {
-  return static_cast<std::size_t>(
-      std::distance(std::filesystem::directory_iterator("/proc/self/fd"), std::filesystem::directory_iterator()));
+  return static_cast<std::size_t>(std::distance(std::filesystem::directory_iterator("/proc/self/fd"),
+                                                std::filesystem::directory_iterator()));
 }
 
 struct Bench {
@@ -116,7 +116,7 @@
   Loop loop;  // of the stand-ins
   double micros = 0;
   std::map<std::string, double> totals;
-  Peer server{loop.io, [](Wire& w) { answer(w); }}, second{loop.io, [](Wire& w) { answer(w); }};
+  Peer server{loop.io, [](Wire&w) { answer(w); }}, second{loop.io, [](Wire&w) { answer(w); }};
   Peer counter{loop.io, [this](Wire& w) {
                  for (auto l = w.line(); !l.empty(); l = w.line()) w.send(count(l));
                }};
@@ -181,11 +181,12 @@
   // One request of one customer, answered.
   void ask(Wire& w, std::uint64_t n, std::uint64_t customer) {
     std::array<char, 512> text{};
-    std::snprintf(text.data(), text.size(),
-                  "GET /safe?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: %016llx\r\nX-Priority-Class: safe\r\n"
-                  "X-Plan: plain\r\nCookie: client=%016llx\r\nX-Timeout-Ms: 2000\r\n"
-                  "X-Quota: units=1,spread=2,first=1\r\n\r\n",
-                  static_cast<unsigned long long>(n), static_cast<unsigned long long>(customer));
+    std::snprintf(
+        text.data(), text.size(),
+        "GET /safe?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: %016llx\r\nX-Priority-Class: safe\r\n"
+        "X-Plan: plain\r\nCookie: client=%016llx\r\nX-Timeout-Ms: 2000\r\n"
+        "X-Quota: units=1,spread=2,first=1\r\n\r\n",
+        static_cast<unsigned long long>(n), static_cast<unsigned long long>(customer));
     w.send(text.data());
     std::string got;
     until([&] { return !(got = w.message()).empty(); });
@@ -201,14 +202,16 @@
   counted = {.live = counted.live}, b.micros = 0;
   for (std::uint64_t i = 0; i < requests; ++i) b.ask(*w, ++n, 1 + n % 20);
   const auto c = counted;
-  const auto each = [&](std::uint64_t all) { return static_cast<double>(all) / static_cast<double>(requests); };
+  const auto each = [&](std::uint64_t all) {
+    return static_cast<double>(all) / static_cast<double>(requests);
+  };
   std::cout << "request: microseconds " << b.micros / static_cast<double>(requests) << "\nrequest: calls "
             << each(c.calls()) << "\nrequest: receives " << each(c.receives) << "\nrequest: sends "
-            << each(c.sends) << "\nrequest: epoll_waits " << each(c.epoll_waits) << "\nrequest: epoll_changes "
-            << each(c.epoll_changes) << "\nrequest: timer_settings " << each(c.timers)
-            << "\nrequest: socket_calls " << each(c.sockets) << "\nrequest: allocations " << each(c.allocations)
-            << "\nrequest: bytes_allocated " << each(c.allocated) << "\nrequest: bytes_moved " << each(c.moved)
-            << "\n";
+            << each(c.sends) << "\nrequest: epoll_waits " << each(c.epoll_waits)
+            << "\nrequest: epoll_changes " << each(c.epoll_changes) << "\nrequest: timer_settings "
+            << each(c.timers) << "\nrequest: socket_calls " << each(c.sockets) << "\nrequest: allocations "
+            << each(c.allocations) << "\nrequest: bytes_allocated " << each(c.allocated)
+            << "\nrequest: bytes_moved " << each(c.moved) << "\n";
 
   constexpr std::size_t kSessions = 200, kCustomers = 1000;
   auto live = counted.live;
@@ -230,11 +233,11 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
 
 int main(int argc, char** argv) {
   try {
-    return snowknot::test::run(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 4000);
+    return petrelrail::test::run(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 4000);
   } catch (const std::exception& x) {
     std::cerr << "cost: " << x.what() << "\n";
     return 1;
--- a/bench/benchlink.cpp
+++ b/bench/drill.cpp
@@ -7,14 +7,14 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "petrelrail/gateway.hpp"
 #include "settings_reader.hpp"
-#include "snowknot/gateway.hpp"
 
 namespace {
 
 using nlohmann::json;
-using namespace snowknot;
-using namespace snowknot::reading;
+using namespace petrelrail;
+using namespace petrelrail::reading;
 
 std::string hex_text(RequestId id) {
   std::array<char, 17> buffer{};
@@ -273,7 +273,7 @@
     try {
       std::cout << process.reply(line) << '\n' << std::flush;
     } catch (const std::exception& x) {
-      std::cerr << "snowknot_benchlink: line " << number << ": " << x.what() << '\n';
+      std::cerr << "petrelrail_drill: line " << number << ": " << x.what() << '\n';
       return 1;
     }
   }
--- a/examples/example.cpp
+++ b/examples/example.cpp
@@ -1,9 +1,9 @@
 // The smallest host: one server, one customer, one request; a counter that answers at once.
 #include <cstdio>
-#include <snowknot/gateway.hpp>
+#include <petrelrail/gateway.hpp>
 
 int main() {
-  using namespace snowknot;
+  using namespace petrelrail;
   using namespace std::chrono_literals;
   Settings settings;
   settings.classes.push_back({.name = "read", .aim = 500ms, .deadline = 2s});
--- a/include/snowknot/gateway.hpp
+++ b/include/petrelrail/gateway.hpp
@@ -1,4 +1,4 @@
-// The interface of snowknot: settings, events, actions and class Gateway. Decisions live in src/logic.cpp.
+// The interface of petrelrail: settings, events, actions and class Gateway. Decisions live in src/logic.cpp.
 #pragma once
 
 #include <chrono>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace snowknot {
+namespace petrelrail {
 
 using Duration = std::chrono::nanoseconds;
 
@@ -331,4 +331,4 @@
   std::unique_ptr<Logic> logic_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,15 +4,15 @@
 cd "$(dirname "$0")/.."
 jobs=$(nproc 2>/dev/null || echo 2)
 
-cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DSNOWKNOT_TESTS=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
+cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_TESTS=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
 cmake --build build-test -j "$jobs"
 ctest --test-dir build-test --output-on-failure -j "$jobs"
 
 cmake --install build-test --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S examples -B build-test/consumer -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix"
 cmake --build build-test/consumer -j "$jobs"
-build-test/consumer/snowknot_example
+build-test/consumer/petrelrail_example
 
-cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSNOWKNOT_TESTS=ON -DSNOWKNOT_SANITIZE=ON
+cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DPETRELRAIL_TESTS=ON -DPETRELRAIL_SANITIZE=ON
 cmake --build build-asan -j "$jobs"
 ctest --test-dir build-asan --output-on-failure -j "$jobs"
--- a/src/helpers.hpp
+++ b/src/helpers.hpp
@@ -1,9 +1,9 @@
 // Arithmetic that the module uses; nothing here decides anything.
 #pragma once
 
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 inline Duration from_seconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
@@ -30,4 +30,4 @@
   return it == table.end() ? nullptr : &it->second;
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,4 +1,4 @@
-// Every decision of snowknot. The interface is include/snowknot/gateway.hpp.
+// Every decision of petrelrail. The interface is include/petrelrail/gateway.hpp.
 //
 // Sections, as a request meets them: 1 settings (window, limit), 2 lease book (units, calls, who waits),
 // 3 server table, 4 choice, 5 attempts (sends, final answers), 6 timers (alarms, sweep, probes).
@@ -15,9 +15,9 @@
 #include <utility>
 
 #include "helpers.hpp"
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 using namespace std::chrono_literals;
@@ -1312,4 +1312,4 @@
 Succession Gateway::hand_over(Time now) { return logic_->hand_over(now); }
 void Gateway::resume() { logic_->resume(); }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -7,7 +7,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 using std::string_view;
@@ -558,4 +558,4 @@
   return draining_ && sessions_.empty() && timers_.now() - last_accept_ > facts::kNewAfterTerm;
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -12,11 +12,11 @@
 #include <unordered_set>
 
 #include "net.hpp"
+#include "petrelrail/gateway.hpp"
 #include "piece_body.hpp"
-#include "snowknot/gateway.hpp"
 #include "upload.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 namespace http = boost::beast::http;
 
@@ -183,4 +183,4 @@
   Time last_accept_{};
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -10,7 +10,7 @@
 #include "facts.hpp"
 #include "upstream.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 Outcome outcome_of(const http::response<PieceBody>& r) {
@@ -365,4 +365,4 @@
   if (errand) upstream_.report(*errand, outcome, std::move(answer));
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -12,7 +12,7 @@
 #include "net.hpp"
 #include "pool.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 // What is to be done on one connection: an attempt of a request, or a probe if there is no message.
 struct Errand {
@@ -86,4 +86,4 @@
   std::uint64_t heard_ = 0;  // how often the server had been heard of when the request began
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -10,7 +10,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 namespace http = boost::beast::http;
 
@@ -209,4 +209,4 @@
 
 void Control::forget(const std::shared_ptr<Call>& call) { calls_.remove(call); }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -9,7 +9,7 @@
 
 #include "net.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Control {
  public:
@@ -46,4 +46,4 @@
   Calls calls_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -10,7 +10,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Counter::Link : public std::enable_shared_from_this<Link> {
  public:
@@ -243,4 +243,4 @@
   return std::ranges::all_of(links_, [](const auto& l) { return l->tried(); });
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/counter.hpp
+++ b/src/node/counter.hpp
@@ -10,7 +10,7 @@
 
 #include "net.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Counter {
  public:
@@ -29,4 +29,4 @@
   std::vector<std::shared_ptr<Link>> links_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -8,7 +8,7 @@
 #include "facts.hpp"
 #include "settings_reader.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 using namespace reading;
 
@@ -209,4 +209,4 @@
   });
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "net.hpp"
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 namespace http = boost::beast::http;
 
@@ -76,4 +76,4 @@
   Duration backoff_{};
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -6,9 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot::facts {
+namespace petrelrail::facts {
 
 using namespace std::chrono_literals;
 
@@ -68,4 +68,4 @@
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 inline constexpr double kServersKeep = 0.5;   // of the servers' share, which clients are not lent
 
-}  // namespace snowknot::facts
+}  // namespace petrelrail::facts
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -11,7 +11,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 using nlohmann::json;
 
@@ -306,4 +306,4 @@
   owner_.peer_lost();
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -11,9 +11,9 @@
 #include <string>
 
 #include "net.hpp"
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 // A descriptor that is closed unless it is taken.
 class Descriptor {
@@ -83,4 +83,4 @@
   Timers::Handle limit_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-using namespace snowknot;
-using namespace snowknot::reading;
+using namespace petrelrail;
+using namespace petrelrail::reading;
 
 std::string variable(const char* name) {
   const char* value = std::getenv(name);
@@ -70,7 +70,7 @@
   else if (const char* named = std::getenv("GW_CONTROL"); named != nullptr && *named != '\0')
     c.control = address(named, "control");
   if (const char* folder = std::getenv("TMPDIR"); folder != nullptr && *folder != '\0')
-    c.handover = std::string(folder) + "/docklift-" + text(config, "listen") + ".sock";
+    c.handover = std::string(folder) + "/petrelrail-" + text(config, "listen") + ".sock";
   validate(c.named.settings);
   return {std::move(config), std::move(c)};
 }
@@ -127,7 +127,7 @@
     serve(io);
     return EXIT_SUCCESS;
   } catch (const std::exception& x) {
-    std::cerr << "docklift: " << x.what() << '\n';
+    std::cerr << "petrelrail: " << x.what() << '\n';
     return EXIT_FAILURE;
   }
 }
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -1,6 +1,6 @@
 #include "metrics.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 std::string escaped(std::string_view label) {
@@ -55,4 +55,4 @@
   return text;
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -8,7 +8,7 @@
 
 #include "pool.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Metrics {
  public:
@@ -32,4 +32,4 @@
   std::uint64_t dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -12,9 +12,9 @@
 #include <optional>
 #include <string_view>
 
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -97,4 +97,4 @@
   Time armed_ = Time::max();
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,7 +4,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 std::size_t for_peers(const NodeConfig& c) {
@@ -418,4 +418,4 @@
   if (it != open_.end() && !it->second.session && it->second.out == 0) open_.erase(it);
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -16,11 +16,11 @@
 #include "handover.hpp"
 #include "metrics.hpp"
 #include "net.hpp"
+#include "petrelrail/gateway.hpp"
 #include "settings_reader.hpp"
-#include "snowknot/gateway.hpp"
 #include "upstream.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 struct NodeConfig {
   std::string name;
@@ -142,4 +142,4 @@
   bool succeeded_ = false;  // a successor accepts them
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/piece_body.hpp
+++ b/src/node/piece_body.hpp
@@ -9,7 +9,7 @@
 
 #include "net.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 // Nothing is set aside for what is still to come.
 struct PieceBody {
@@ -38,4 +38,4 @@
   };
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -4,7 +4,7 @@
 
 #include "connection.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 Pool::~Pool() {
   for (const auto& c : idle_) c->abandon();
@@ -98,4 +98,4 @@
   c->close(Outcome::reset);
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -8,7 +8,7 @@
 
 #include "net.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class ServerConnection;
 
@@ -76,4 +76,4 @@
   std::vector<Connection> busy_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/upload.hpp
+++ b/src/node/upload.hpp
@@ -11,7 +11,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Upload {
  public:
@@ -49,4 +49,4 @@
   bool whole_ = false, broken_ = false, begun_ = false;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -4,7 +4,7 @@
 
 #include "facts.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
                    std::size_t most_connections, Owner& owner)
@@ -138,4 +138,4 @@
   sweep_ = timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -10,7 +10,7 @@
 #include "net.hpp"
 #include "pool.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 
 class Upstream : public LinkView {
  public:
@@ -90,4 +90,4 @@
   Timers::Handle sweep_;
 };
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -3,9 +3,9 @@
 #include <initializer_list>
 #include <stdexcept>
 
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot {
+namespace petrelrail {
 namespace {
 
 using namespace std::chrono_literals;
@@ -13,7 +13,7 @@
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 void require(bool good, const std::string& field) {
-  if (!good) throw std::invalid_argument("snowknot settings: " + field);
+  if (!good) throw std::invalid_argument("petrelrail settings: " + field);
 }
 
 using Numbers = std::initializer_list<std::pair<double, const char*>>;
@@ -67,4 +67,4 @@
   same(from.plans == to.plans, "plans");
 }
 
-}  // namespace snowknot
+}  // namespace petrelrail
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -9,9 +9,9 @@
 #include <string>
 #include <utility>
 
-#include "snowknot/gateway.hpp"
+#include "petrelrail/gateway.hpp"
 
-namespace snowknot::reading {
+namespace petrelrail::reading {
 
 using nlohmann::json;
 
@@ -205,4 +205,4 @@
   return named_settings;
 }
 
-}  // namespace snowknot::reading
+}  // namespace petrelrail::reading
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 using nlohmann::json;
-using snowknot::test::facts;
+using petrelrail::test::facts;
 
 struct Result {
   int code = 0;
@@ -23,12 +23,12 @@
 };
 
 Result run(const std::string& input) {
-  char name[] = "/tmp/snowknot-adapter-XXXXXX";
+  char name[] = "/tmp/petrelrail-adapter-XXXXXX";
   const std::filesystem::path dir = mkdtemp(name);
   std::ofstream(dir / "in") << input;
   const std::string base = dir.string();
   const int status = std::system(
-      (BENCHLINK " < " + base + "/in > " + base + "/out 2> " + base + "/err").c_str());
+      (PETRELRAIL_DRILL " < " + base + "/in > " + base + "/out 2> " + base + "/err").c_str());
   Result r;
   r.code = WEXITSTATUS(status);
   std::ifstream out(dir / "out");
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -7,7 +7,7 @@
 #include "metrics.hpp"
 #include "peers.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 struct ControlTest : ::testing::Test, Control::Owner {
@@ -113,4 +113,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -6,7 +6,7 @@
 #include "facts.hpp"
 #include "peers.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 struct CounterTest : ::testing::Test {
@@ -191,4 +191,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -3,7 +3,7 @@
 
 #include "peers.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 std::string chunk(const std::string& text) {
@@ -141,4 +141,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -9,7 +9,7 @@
 
 #include "host.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 // ---- Settings ---------------------------------------------------------------------------------------
@@ -1040,7 +1040,7 @@
   ASSERT_TRUE(before.ask_granted(1));
   before.ask(1);
   EXPECT_TRUE(before.has<Send>());  // from the quantum that is held
-  const auto left = std::make_shared<snowknot::Succession>(before.gateway.hand_over(before.now));
+  const auto left = std::make_shared<petrelrail::Succession>(before.gateway.hand_over(before.now));
   ASSERT_EQ(left->leases.size(), 1u);
   EXPECT_GT(left->leases[0].now.held, 0);
   before.ask(1);
@@ -1066,7 +1066,7 @@
     before.ask(1);
     if (before.has<Refuse>()) break;
   }
-  const auto left = std::make_shared<snowknot::Succession>(before.gateway.hand_over(before.now));
+  const auto left = std::make_shared<petrelrail::Succession>(before.gateway.hand_over(before.now));
   EXPECT_EQ(left->left_out, std::vector{ServerId{1}});
   ASSERT_EQ(left->leases[0].places.size(), taken);
   Host after(s);
@@ -1207,4 +1207,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -5,7 +5,7 @@
 
 #include <chrono>
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 using namespace std::chrono_literals;
@@ -48,4 +48,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -10,7 +10,7 @@
 
 #include "host.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 // No quota stands between a request and the servers.
@@ -272,4 +272,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/host.hpp
+++ b/tests/host.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <algorithm>
-#include <snowknot/gateway.hpp>
+#include <petrelrail/gateway.hpp>
 #include <vector>
 
-namespace snowknot::test {
+namespace petrelrail::test {
 
 using namespace std::chrono_literals;
 
@@ -93,4 +93,4 @@
   }
 };
 
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -9,7 +9,7 @@
 
 #include "host.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 // The connections of one gateway, as its host would keep them.
@@ -237,4 +237,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -7,7 +7,7 @@
 #include "host.hpp"
 #include "peers.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 struct Ask {
@@ -619,4 +619,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -14,7 +14,7 @@
 
 #include "net.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 
 using namespace std::chrono_literals;
 
@@ -150,4 +150,4 @@
          "\r\n\r\n" + body;
 }
 
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -9,7 +9,7 @@
 #include "peers.hpp"
 #include "upstream.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 constexpr ServerId kOne{1};
@@ -354,4 +354,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -14,14 +14,14 @@
 #include "peers.hpp"
 #include "settings_json.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 using nlohmann::json;
 
 struct ProcessTest : ::testing::Test {
   ProcessTest() {
-    std::string name = (std::filesystem::temp_directory_path() / "docklift-test-XXXXXX").string();
+    std::string name = (std::filesystem::temp_directory_path() / "petrelrail-test-XXXXXX").string();
     dir = mkdtemp(name.data());
     listen = free_port();
     config = {{"name", "n0"},
@@ -60,7 +60,7 @@
     const int log = ::open((dir / "log").c_str(), O_CREAT | O_WRONLY, 0600);
     dup2(log, 2);
     setenv("GW_CONFIG", (dir / "config.json").c_str(), 1);
-    execl(DOCKLIFT, DOCKLIFT, nullptr);
+    execl(PETRELRAIL_PROGRAM, PETRELRAIL_PROGRAM, nullptr);
     _exit(99);
   }
   // The exit status; -1 if it does not end.
@@ -372,7 +372,7 @@
   EXPECT_TRUE(asked(loop.connect(listen)).starts_with("HTTP/1.1 200"));
 }
 TEST_F(Upgrade, ASocketLeftBehindIsNoPredecessor) {
-  std::ofstream(dir / ("docklift-" + config["listen"].get<std::string>() + ".sock")) << "x";
+  std::ofstream(dir / ("petrelrail-" + config["listen"].get<std::string>() + ".sock")) << "x";
   start(old_control);
   kill(child, SIGKILL), waitpid(child, nullptr, 0);
   start(old_control);  // beside the socket of a process that was killed
@@ -386,7 +386,7 @@
   const std::vector<std::string> scripts{"", "what\n", "{\"other\":1}\n", "{\"state\":{\"leases\":5}}\n",
                                          "-"};
   for (const auto& script : scripts) {
-    const auto path = dir / ("docklift-" + config["listen"].get<std::string>() + ".sock");
+    const auto path = dir / ("petrelrail-" + config["listen"].get<std::string>() + ".sock");
     std::filesystem::remove(path);
     asio::basic_socket_acceptor<Local, Executor> acceptor(loop.io.get_executor(),
                                                           Local::endpoint(path.string()));
@@ -440,4 +440,4 @@
 TEST_F(BadConfig, AddressIsTaken) { config["listen"] = agent.text(), expect_named("'listen'"); }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -8,7 +8,7 @@
 
 #include "host.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 struct Run {
@@ -163,4 +163,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, Random, testing::Range(1, 9));
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/settings_json.hpp
+++ b/tests/settings_json.hpp
@@ -3,7 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snowknot::test {
+namespace petrelrail::test {
 
 inline nlohmann::json facts() {
   return nlohmann::json::parse(
@@ -21,4 +21,4 @@
               "warm-within-ns":1000000000}})");
 }
 
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
--- a/tests/source_limits.cmake
+++ b/tests/source_limits.cmake
@@ -21,7 +21,7 @@
 if(count GREATER 1200)
   message(SEND_ERROR "src/logic.cpp has ${count} lines that are not blank; 1200 at most")
 endif()
-if(NOT text MATCHES "^// [^;]*include/snowknot/gateway.hpp")
+if(NOT text MATCHES "^// [^;]*include/petrelrail/gateway.hpp")
   message(SEND_ERROR "the top comment of src/logic.cpp must name the interface file")
 endif()
 
@@ -32,7 +32,7 @@
 if(NOT node_files)
   message(SEND_ERROR "src/node holds no sources to check")
 endif()
-foreach(file include/snowknot/gateway.hpp bench/benchlink.cpp src/settings.cpp src/helpers.hpp
+foreach(file include/petrelrail/gateway.hpp bench/drill.cpp src/settings.cpp src/helpers.hpp
              src/settings_reader.hpp ${node_files})
   file(READ ${ROOT}/${file} other)
   string(REPLACE "HTTP/1.1" "HTTP" other "${other}")  # the protocol's version
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -4,7 +4,7 @@
 #include "facts.hpp"
 #include "peers.hpp"
 
-namespace snowknot::test {
+namespace petrelrail::test {
 namespace {
 
 struct UpstreamTest : ::testing::Test, Upstream::Owner {
@@ -409,4 +409,4 @@
 }
 
 }  // namespace
-}  // namespace snowknot::test
+}  // namespace petrelrail::test
