A command line, a check of the configuration and a structured log for the edge node

Need: the program had no words on its command line, a wrong file showed itself only at a start, and its log lines had neither time, level nor part.

What the tests and the lab need is installed by scripts/packages.sh, which test.sh calls.

Turned down: logging from a thread of spdlog's own.

--- /dev/null
+++ b/scripts/packages.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# Installs what is missing of the Debian packages that the program, its tests and the lab are built with.
+# `plots` as an argument adds what the lab's reports draw their plots with.
+set -eu
+wanted="cmake g++ nlohmann-json3-dev libgtest-dev libcli11-dev libspdlog-dev libtomlplusplus-dev libxxhash-dev"
+[ "${1:-}" != plots ] || wanted="$wanted gnuplot-nox"
+missing=""
+for package in $wanted; do
+  dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
+done
+# Another Debian may have a later Boost under the plain name.
+boost=""
+dpkg -s libboost1.81-dev >/dev/null 2>&1 || dpkg -s libboost-dev >/dev/null 2>&1 || boost=libboost1.81-dev
+[ -n "$missing$boost" ] || exit 0
+apt-get update -qq
+[ -z "$boost" ] || apt-cache show "$boost" >/dev/null 2>&1 || boost=libboost-dev
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $missing $boost
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# Configures, builds and runs all tests: plain, under sanitizers, and a program that uses the installed package.
+# Installs what is missing, configures, builds and runs all tests: plain, under sanitizers, and a program that uses the installed package.
 set -eu
 cd "$(dirname "$0")/.."
 jobs=$(nproc 2>/dev/null || echo 2)
+sh scripts/packages.sh
 
 cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_TESTS=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
 cmake --build build-test -j "$jobs"
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -96,7 +96,7 @@
     n.info.id = number_of(id);
     return n;
   } catch (const std::exception& x) {
-    note(std::string("discovery: an entry is passed over: ") + x.what());
+    log::warning("discovery", "an entry is passed over", {{"why", x.what()}});
     return std::nullopt;
   }
 }
@@ -116,7 +116,7 @@
     told_(cached ? ListKind::cached : complete ? ListKind::full : ListKind::changes, entries);
     return true;
   } catch (const std::exception& x) {
-    note(std::string("discovery: a list is passed over: ") + x.what());
+    log::warning("discovery", "a list is passed over", {{"why", x.what()}});
     return false;
   }
 }
@@ -153,7 +153,7 @@
   timers_.cancel(silence_);
   silence_ = timers_.after(2 * facts::kWatchLine + facts::kWatchLine / 4, [this] {
     silence_.reset();
-    note("discovery: silent");
+    log::warning("discovery", "silent");
     again();
   });
 }
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -61,6 +61,13 @@
 inline constexpr Duration kLongestBackoff = 1s;            //
 inline constexpr Duration kConnectLimit = 1s;              // for a connection to discovery to come up
 
+// ---- The process -----------------------------------------------------------------------------------------
+inline constexpr int kBadInput = 2;  // exit status of --check, and after a command line that can't be read
+
+// ---- The log ------------------------------------------------------------------------------------------
+inline constexpr double kLogBurst = 200;  // lines at once
+inline constexpr double kLogRate = 20;    // and a second
+
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
     kOwnDescriptors = 24 + kControlCallers +
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -198,7 +198,7 @@
 Handover::Handover(asio::io_context& io, Timers& timers, std::string path, Owner& owner)
     : io_(io), timers_(timers), path_(std::move(path)), owner_(owner), acceptor_(io.get_executor()) {
   if (path_.size() >= sizeof(sockaddr_un::sun_path)) {
-    note("handover: the path is too long: " + path_);
+    log::warning("handover", "the path is too long", {{"path", path_}});
     path_.clear();
   }
 }
@@ -247,7 +247,7 @@
   if (!failed) ::chmod(path_.c_str(), S_IRUSR | S_IWUSR);
   if (!failed) acceptor_.listen(1, failed);
   if (!failed) return accept();
-  note("handover: no successor can come: " + failed.message());
+  log::warning("handover", "no successor can come", {{"why", failed.message()}});
   error_code ignored;
   acceptor_.close(ignored);
 }
@@ -294,7 +294,7 @@
       owner_.told_by_peer(message);
     }
   } catch (const std::exception& x) {
-    note(std::string("handover: ") + x.what());
+    log::warning("handover", x.what());
     link->end();
   }
 }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,10 +1,13 @@
-// The edge node's process: configuration, signals, wiring.
+// The edge node's process: command line, configuration, signals, wiring.
+#include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
+#include "facts.hpp"
 #include "node.hpp"
 
 namespace {
@@ -29,6 +32,13 @@
   NodeConfig node;
 };
 
+// Where the configuration is: a file named on the command line, or GW_CONFIG.
+struct Source {
+  std::string file;
+  std::string path() const { return file.empty() ? variable("GW_CONFIG") : file; }
+  std::string named() const { return file.empty() ? "variable GW_CONFIG: " : "--config: "; }
+};
+
 // Every key that the file in force holds: one that is cut short or edited by mistake is not taken in part.
 void require_keys(const json& in_force, const json& next, const std::string& at) {
   if (in_force.is_array()) {
@@ -44,12 +54,12 @@
   }
 }
 
-Configuration read_config(const json* in_force = nullptr) {
-  const auto path = variable("GW_CONFIG");
+Configuration read_config(const Source& source, const json* in_force = nullptr) {
+  const auto path = source.path();
   std::ifstream file(path);
-  if (!file) throw FieldError("variable GW_CONFIG: can't read " + path);
+  if (!file) throw FieldError(source.named() + "can't read " + path);
   auto config = json::parse(file, nullptr, false);
-  if (config.is_discarded()) throw FieldError("variable GW_CONFIG: " + path + " is not JSON");
+  if (config.is_discarded()) throw FieldError(source.named() + path + " is not JSON");
   object_of(config, "config");
   if (in_force != nullptr) require_keys(*in_force, config, "config");
   NodeConfig c;
@@ -75,21 +85,54 @@
   return {std::move(config), std::move(c)};
 }
 
+// What the node would do with this configuration, for --check.
+std::string told(const Configuration& c) {
+  const auto& n = c.node;
+  const auto& s = n.named.settings;
+  const auto zone = std::ranges::find_if(n.named.names.zones,
+                                         [&](const auto& z) { return ZoneIndex(z.second) == s.zone; });
+  const auto seconds = [](Duration d) { return std::chrono::duration<double>(d).count(); };
+  std::ostringstream text;
+  text << "node " << n.name << ", number " << s.index << " of " << s.fleet_size << ", zone " << zone->first
+       << '\n'
+       << "  clients at " << n.listen << ", control " << (n.control ? "at " : "off");
+  if (n.control) text << *n.control;
+  text << "\n  discovery at " << n.discovery << ", counter " << (n.counter ? "at " : "off");
+  if (n.counter) text << *n.counter << ", answers within " << seconds(s.counter_timeout) << " s";
+  text << "\n  descriptors " << n.descriptors << ", attempts a request " << s.max_attempts << ", probes "
+       << (s.probes ? "on" : "off") << ", a successor " << (n.handover.empty() ? "can't come" : "may come")
+       << '\n';
+  for (const auto& k : s.classes)
+    text << "  class " << k.name << ": aim " << seconds(k.aim) << " s, deadline " << seconds(k.deadline)
+         << " s\n";
+  for (const auto& p : s.plans) {
+    text << "  plan " << p.name << ": ";
+    if (p.rate > 0) text << p.rate << " units a second, burst " << p.burst;
+    if (p.rate <= 0) text << "no rate";
+    if (p.max_open > 0) text << ", " << p.max_open << " out at once";
+    if (p.ceiling_rate > 0) text << ", ceiling " << p.ceiling_rate << " a second";
+    text << '\n';
+  }
+  if (const auto* members = optional_field(n.known, "members"); members != nullptr && members->is_array())
+    text << "  starts with a list of " << members->size() << " price servers\n";
+  return text.str();
+}
+
 // A new configuration that can't be read changes nothing.
-void reconfigure_on(asio::signal_set& signals, Node& node, json& in_force) {
+void reconfigure_on(asio::signal_set& signals, Node& node, const Source& source, json& in_force) {
   signals.async_wait([&](const error_code& failed, int) {
     if (failed) return;
     try {
-      auto next = read_config(&in_force);
+      auto next = read_config(source, &in_force);
       node.reconfigure(next.node);
       in_force = std::move(next.file);
       node.reloaded(true);
-      note("configuration read again");
+      log::info("node", "configuration read again");
     } catch (const std::exception& x) {
       node.reloaded(false);
-      note(std::string("the configuration stays as it was: ") + x.what());
+      log::warning("node", std::string("the configuration stays as it was: ") + x.what());
     }
-    reconfigure_on(signals, node, in_force);
+    reconfigure_on(signals, node, source, in_force);
   });
 }
 
@@ -100,34 +143,70 @@
       io.run();
       return;
     } catch (const std::exception& x) {
-      note(std::string("a handler failed: ") + x.what());
+      log::warning("node", "a handler failed", {{"why", x.what()}});
     }
   }
 }
 
-}  // namespace
-
-int main() {
+int check(const Source& source) {
   try {
-    std::signal(SIGPIPE, SIG_IGN);
-    asio::io_context io(1);
-    auto config = read_config();
-    Node node(io, std::move(config.node));
-    asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const error_code& failed, int) {
-      if (!failed) node.drain([&io] { io.stop(); });
-    });
-    asio::signal_set hang_ups(io, SIGHUP);
-    reconfigure_on(hang_ups, node, config.file);
-    try {
-      node.start();
-    } catch (const boost::system::system_error& x) {
-      throw FieldError(std::string("field 'listen': ") + x.code().message());
-    }
-    serve(io);
+    std::cout << told(read_config(source));
     return EXIT_SUCCESS;
   } catch (const std::exception& x) {
     std::cerr << "petrelrail: " << x.what() << '\n';
+    return facts::kBadInput;
+  }
+}
+
+int run(const Source& source, log::Form form) {
+  log::set_up(form);
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context io(1);
+  auto config = read_config(source);
+  log::set_up(form, config.node.name);
+  Node node(io, std::move(config.node));
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const error_code& failed, int) {
+    if (!failed) node.drain([&io] { io.stop(); });
+  });
+  asio::signal_set hang_ups(io, SIGHUP);
+  reconfigure_on(hang_ups, node, source, config.file);
+  try {
+    node.start();
+  } catch (const boost::system::system_error& x) {
+    throw FieldError(std::string("field 'listen': ") + x.code().message());
+  }
+  serve(io);
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Source source;
+  std::string form = "text";
+  bool only_check = false;
+  CLI::App app{"The edge node: shares members' quotas over a fleet and serves on while parts fail.",
+               "petrelrail"};
+  app.set_version_flag("--version", std::string("petrelrail ") + PETRELRAIL_VERSION,
+                       "print the version and end");
+  app.add_option("--config", source.file, "the configuration, a JSON file; else what GW_CONFIG names");
+  app.add_option("--log", form, "the log's lines: text or json; else what GW_LOG says")
+      ->envname("GW_LOG")
+      ->check(CLI::IsMember({"text", "json"}))
+      ->capture_default_str();
+  app.add_flag("--check", only_check,
+               "read the configuration, say what it would do or which field is wrong: exit 0 or 2");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? EXIT_SUCCESS : facts::kBadInput;
+  }
+  if (only_check) return check(source);
+  try {
+    return run(source, log::form_of(form));
+  } catch (const std::exception& x) {
+    log::write(log::Level::error, "node", x.what());
     return EXIT_FAILURE;
   }
 }
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -50,6 +50,8 @@
   single("pool_stale_drops", "counter", now.pool.stale_drops);
   single("pool_released", "counter", now.pool.released);
   single("pool_failed_connects", "counter", now.pool.failed_connects);
+  single("log_lines", "counter", now.log.lines);
+  single("log_dropped", "counter", now.log.dropped);
   single("reload_success", "counter", reload_success_);
   single("reload_failure", "counter", reload_failure_);
   return text;
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "log.hpp"
 #include "pool.hpp"
 
 namespace petrelrail {
@@ -18,6 +19,7 @@
   struct Gauges {  // what is so at the moment of the call
     std::size_t concurrent = 0, targets = 0, targets_disabled = 0, sessions = 0;
     PoolFigures pool{};
+    log::Figures log{};
   };
 
   // Kept for the life of the process, also when the class is dropped.
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -7,11 +7,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
-#include <iostream>
 #include <map>
 #include <optional>
-#include <string_view>
 
+#include "log.hpp"
 #include "petrelrail/gateway.hpp"
 
 namespace petrelrail {
@@ -22,8 +21,6 @@
 using Executor = asio::io_context::executor_type;
 using Socket = asio::basic_stream_socket<Tcp, Executor>;
 
-inline void note(std::string_view text) { std::cerr << text << '\n'; }
-
 // Closes at once; what the peer has not read yet may be lost.
 inline void close_now(Socket& socket) {
   error_code ignored;
@@ -85,7 +82,7 @@
       try {
         due.mapped()();
       } catch (const std::exception& x) {
-        note(std::string("a timer failed: ") + x.what());
+        log::warning("node", "a timer failed", {{"why", x.what()}});
       }
     }
     if (!queue_.empty() && queue_.begin()->first < armed_) arm();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,7 +65,7 @@
   try {
     serve();
   } catch (const std::exception& x) {
-    note(std::string("field 'listen': ") + x.what());
+    log::warning("node", std::string("field 'listen': ") + x.what());
     timers_.after(facts::kLongestBackoff, [this] { serve_in_any_case(); });
   }
 }
@@ -93,7 +93,7 @@
   clients_.retire();
   upstream_.keep(false);
   state["sessions"] = clients_.size(), state["connections"] = upstream_.size();
-  note("a successor takes over");
+  log::info("handover", "a successor takes over");
   return state;
 }
 
@@ -109,7 +109,7 @@
   }
   happened(TakeOver{std::move(s)});
   limit_descriptors(state.at("sessions"), state.at("connections"));
-  note("taken over from a predecessor");
+  log::info("handover", "taken over from a predecessor");
   serve();
 }
 
@@ -154,11 +154,11 @@
 void Node::peer_lost() {
   limit_descriptors(0, 0);
   if (!serves_) {
-    note("the predecessor hands nothing over");
+    log::warning("handover", "the predecessor hands nothing over");
     return serve_in_any_case();
   }
   if (!std::exchange(succeeded_, false) || drained_) return;
-  note("the successor has ended: clients are served here again");
+  log::warning("handover", "the successor has ended: clients are served here again");
   upstream_.keep(true);
   gateway_.resume();
   clients_.resume();
@@ -238,7 +238,7 @@
       for (const auto& action : gateway_.handle(timers_.now(), next))
         std::visit([this](const auto& a) { carry_out(a); }, action);
     } catch (const std::exception& x) {
-      note(std::string("an event failed: ") + x.what());
+      log::warning("node", "an event failed", {{"why", x.what()}});
     }
   }
   telling_ = false;
@@ -343,7 +343,7 @@
 
 std::string Node::figures() {
   const auto servers = gateway_.servers(timers_.now());
-  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures()});
+  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(), log::figures()});
 }
 
 bool Node::leave_out(const std::string& server, bool out) {
@@ -355,7 +355,7 @@
 bool Node::set_out(const std::string& server, bool out) {
   const auto id = discovery_.known_as(server);
   if (!id) return false;
-  note("server " + server + (out ? " is left out by hand" : " may serve again"));
+  log::info("node", "server " + server + (out ? " is left out by hand" : " may serve again"));
   upstream_.bar(*id, out);
   happened(LeaveOut{*id, out});
   return true;
@@ -399,7 +399,7 @@
 
 void Node::carry_out(const Release& s) { upstream_.release(s.server, s.keep); }
 
-void Node::carry_out(const Log& s) { note(s.text); }
+void Node::carry_out(const Log& s) { log::info("module", s.text); }
 
 // The final answer, once: after it the session is no longer in the table.
 void Node::finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer) {
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,48 @@
+// The log's lines and their bound in rate.
+#include "log.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace petrelrail::test {
+namespace {
+
+using log::Form;
+
+TEST(Log, ALineOfTextHasPartTextAndNamedValues) {
+  EXPECT_EQ(log::line_of(Form::text, "n3", "pool", "server 7 ejected: no connection",
+                         {{"zone", "a"}, {"why", "timed out"}}),
+            "pool: server 7 ejected: no connection zone=a why=\"timed out\"");
+}
+TEST(Log, WhatComesFromOutsideStaysOneLine) {
+  EXPECT_EQ(log::line_of(Form::text, "", "node", "bad\nfield", {{"why", "a\nb"}}),
+            "node: bad field why=\"a\\nb\"");
+}
+TEST(Log, ALineOfJsonCanBeReadBack) {
+  const auto line = "{" + log::line_of(Form::json, "n3", "node", "say \"no\"", {{"why", "\xff"}}) + "}";
+  const auto j = nlohmann::json::parse(line);
+  EXPECT_EQ(j["node"], "n3");
+  EXPECT_EQ(j["part"], "node");
+  EXPECT_EQ(j["text"], "say \"no\"");
+  EXPECT_TRUE(j.contains("why"));  // what is no UTF-8 is replaced, not thrown over
+}
+TEST(Log, TheFormIsNamedByAWord) {
+  EXPECT_EQ(log::form_of("json"), Form::json);
+  EXPECT_THROW(log::form_of("xml"), std::invalid_argument);
+}
+TEST(Log, LinesAreBoundedInRateAndWhatIsLeftOutIsCounted) {
+  log::Bound bound(3, 2);
+  int written = 0;
+  for (int i = 0; i < 10; ++i) written += bound.take(100.0);
+  EXPECT_EQ(written, 3);
+  EXPECT_TRUE(bound.take(100.5));  // one more has been saved up
+  EXPECT_EQ(bound.told(), 7U);
+  EXPECT_EQ(bound.told(), 0U);
+  EXPECT_FALSE(bound.take(100.5));
+  for (int i = 0; i < 10; ++i) bound.take(1000.0);
+  EXPECT_EQ(bound.told(), 1U + 7U);  // no more than the burst is ever saved up
+}
+
+}  // namespace
+}  // namespace petrelrail::test
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <vector>
 
 #include "peers.hpp"
 #include "settings_json.hpp"
@@ -49,8 +50,13 @@
   // The program has to be told a port that is free: the system's choice, given back just before.
   Tcp::endpoint free_port() { return Peer(loop.io).at(); }
 
-  void run(rlim_t descriptors = 1024) {
+  // With further words on the command line; those that name the configuration take the place of GW_CONFIG.
+  void run(rlim_t descriptors = 1024, std::vector<std::string> words = {}, bool by_variable = true) {
     std::ofstream(dir / "config.json") << config;
+    words.insert(words.begin(), PETRELRAIL_PROGRAM);
+    std::vector<char*> arguments;
+    for (auto& w : words) arguments.push_back(w.data());
+    arguments.push_back(nullptr);
     child = fork();
     if (child != 0) return;
     setenv("TMPDIR", dir.c_str(), 1);
@@ -58,9 +64,9 @@
     setrlimit(RLIMIT_NOFILE, &limit);
     for (int fd = 3; fd < 100; ++fd) ::close(fd);
     const int log = ::open((dir / "log").c_str(), O_CREAT | O_WRONLY, 0600);
-    dup2(log, 2);
-    setenv("GW_CONFIG", (dir / "config.json").c_str(), 1);
-    execl(PETRELRAIL_PROGRAM, PETRELRAIL_PROGRAM, nullptr);
+    dup2(log, 1), dup2(log, 2);
+    if (by_variable) setenv("GW_CONFIG", (dir / "config.json").c_str(), 1);
+    execv(PETRELRAIL_PROGRAM, arguments.data());
     _exit(99);
   }
   // The exit status; -1 if it does not end.
@@ -187,10 +193,17 @@
     c["name"] = "write", c["idempotency"] = "unsafe";
     return c;
   }
-  void hang_up(const std::string& file, const char* line) {
+  // The line stands in the log so many times then.
+  void hang_up(const std::string& file, const std::string& line, int times = 1) {
     std::ofstream(dir / "config.json") << file;
     kill(child, SIGHUP);
-    ASSERT_TRUE(loop.until([&] { return log().find(line) != std::string::npos; })) << log();
+    const auto found = [&] {
+      const auto text = log();
+      int n = 0;
+      for (auto at = text.find(line); at != std::string::npos; at = text.find(line, at + 1)) ++n;
+      return n;
+    };
+    ASSERT_TRUE(loop.until([&] { return found() >= times; })) << log();
   }
   int asked(const std::string& method, const std::string& cls) {
     const auto w = loop.connect(listen);
@@ -210,7 +223,7 @@
   config["settings"]["grades"][0]["hard-limit-ns"] = 1000000;  // so that its last tries come soon
   hang_up(config.dump(), "read again\n");
   config["settings"]["grades"] = json::array({other_class()});
-  hang_up(config.dump(), "read again\nconfiguration read again\n");
+  hang_up(config.dump(), "read again\n", 2);
   EXPECT_EQ(asked("POST", "write"), 200);
   EXPECT_EQ(asked("GET", "write"), 405);
   EXPECT_EQ(asked("GET", "read"), 200);
@@ -416,6 +429,48 @@
   EXPECT_TRUE(served(w));
 }
 
+// ---- The command line -------------------------------------------------------------------------------------------
+
+TEST_F(ProcessTest, CheckSaysWhatTheNodeWouldDoAndStartsNothing) {
+  run(1024, {"--check", "--config", (dir / "config.json").string()}, false);
+  EXPECT_EQ(exit_status(), 0);
+  EXPECT_NE(log().find("node n0, number 0 of 2, zone z1"), std::string::npos) << log();
+  EXPECT_NE(log().find("plan p: 4 units a second, burst 12"), std::string::npos) << log();
+}
+TEST_F(ProcessTest, CheckNamesTheFieldThatIsWrong) {
+  config["settings"]["index"] = "first";
+  run(1024, {"--check"});
+  EXPECT_EQ(exit_status(), 2);
+  EXPECT_NE(log().find("'index'"), std::string::npos) << log();
+}
+TEST_F(ProcessTest, CheckNamesAFileThatIsNotThere) {
+  run(1024, {"--check", "--config", (dir / "none.json").string()}, false);
+  EXPECT_EQ(exit_status(), 2);
+  EXPECT_NE(log().find("none.json"), std::string::npos) << log();
+}
+TEST_F(ProcessTest, HelpAndVersionEndWellAndUnknownWordsDoNot) {
+  run(1024, {"--help"});
+  EXPECT_EQ(exit_status(), 0);
+  EXPECT_NE(log().find("--check"), std::string::npos);
+  run(1024, {"--version"});
+  EXPECT_EQ(exit_status(), 0);
+  run(1024, {"--no-such"});
+  EXPECT_EQ(exit_status(), 2);
+}
+TEST_F(ProcessTest, ANamedFileIsReadAgainAtHangUpAndTheLogSpeaksJson) {
+  run(1024, {"--config", (dir / "config.json").string(), "--log", "json"}, false);
+  ASSERT_TRUE(up());
+  kill(child, SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return log().find("configuration read again") != std::string::npos; }))
+      << log();
+  std::istringstream lines(log());
+  for (std::string line; std::getline(lines, line);) {
+    const auto j = json::parse(line, nullptr, false);
+    ASSERT_FALSE(j.is_discarded()) << line;
+    EXPECT_EQ(j["node"], "n0") << line;
+  }
+}
+
 // Bad configuration: one line that names the field, and an exit that is not 0.
 struct BadConfig : ProcessTest {
   void expect_named(const std::string& field) {
