--- /dev/null
+++ b/lab/experiment.cpp
@@ -0,0 +1,249 @@
+#include "experiment.hpp"
+
+#include <cmath>
+#include <cstdio>
+
+#include "helpers.hpp"
+#include "world/configuration.hpp"
+#include "world/model.hpp"
+
+namespace petrelrail::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace world;
+using nlohmann::json;
+
+// Where simulated time begins: any whole time serves, as long as it is always the same.
+constexpr Time kModelBegins{Duration(1'700'000'000'000'000'000)};
+constexpr Duration kProgress = 500ms, kStep = 50ms;
+
+std::string hex(std::uint64_t n) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(n));
+  return text;
+}
+
+json counts_json(const Figures::Counts& c) {
+  json j;
+  for (std::size_t i = 0; i < c.n.size(); ++i) j[name_of(static_cast<Count>(i))] = c.n[i];
+  j["earned"] = std::round(c.earned * 1e6) / 1e6, j["offered"] = std::round(c.offered * 1e6) / 1e6;
+  return j;
+}
+
+std::string number(double x) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.6g", x);
+  return text;
+}
+
+// The parts of a record as JSON, for the trace.
+struct Describe {
+  json& e;
+  void named(const char* what, TryId id) const {
+    e["event"] = what, e["id"] = hex(static_cast<std::uint64_t>(id));
+  }
+  void operator()(const TrySent& s) const {
+    named("sent", s.id);
+    e["node"] = s.node, e["customer"] = hex(static_cast<std::uint64_t>(s.customer)), e["plan"] = s.plan;
+    if (s.id != s.root) e["retry_of"] = hex(static_cast<std::uint64_t>(s.root));
+  }
+  void operator()(const TryTaken& s) const { named("taken", s.id); }
+  void operator()(const TryAnswered& s) const {
+    named(s.verdict == Verdict::served    ? "served"
+          : s.verdict == Verdict::refused ? "refused"
+                                          : "failed",
+          s.id);
+    if (!s.genuine) e["genuine"] = false;
+  }
+  void operator()(const TryBroken& s) const { named("broken", s.id); }
+  void operator()(const TryUnreachable& s) const { named("unreachable", s.id); }
+  void operator()(const TryLeft& s) const { named("left", s.id); }
+  void operator()(const NodeUp& s) const { e["event"] = "node up", e["node"] = s.node; }
+  void operator()(const NodeDown& s) const {
+    e["event"] = s.crashed ? "node crashed" : "node down", e["node"] = s.node;
+  }
+  void operator()(const ServerTold& s) const {
+    static constexpr const char* phases[] = {"ready", "draining", "gone"};
+    e["event"] = "told", e["node"] = s.node, e["server"] = static_cast<std::uint32_t>(s.server);
+    e["phase"] = phases[static_cast<std::size_t>(s.phase)];
+  }
+  void operator()(const ServerStarted& s) const {
+    e["event"] = "server started", e["server"] = static_cast<std::uint32_t>(s.server), e["zone"] = s.zone;
+  }
+  void operator()(const ServerFell& s) const {
+    e["event"] = "server fell", e["server"] = static_cast<std::uint32_t>(s.server),
+    e["told_share"] = s.told_share;
+  }
+  void operator()(const Handshake& s) const {
+    e["event"] = s.up ? "handshake" : "no connection", e["node"] = s.node;
+    e["server"] = static_cast<std::uint32_t>(s.server);
+  }
+  void operator()(const AttemptArrived& s) const {
+    named("arrived", s.id);
+    e["node"] = s.node, e["server"] = static_cast<std::uint32_t>(s.server), e["attempt"] = s.attempt;
+  }
+  void operator()(const AttemptOver& s) const {
+    named("attempt over", s.id);
+    e["attempt"] = s.attempt, e["never_ran"] = s.never_ran;
+  }
+  void operator()(const CounterCalled& s) const {
+    e["event"] = "call", e["node"] = s.node, e["answered"] = s.answered, e["ms"] = seconds(s.after) * 1e3;
+  }
+  void operator()(const CounterLost&) const { e["event"] = "counter lost its numbers"; }
+  void operator()(const Datagram& s) const {
+    e["event"] = "datagram", e["node"] = s.from, e["to"] = s.to, e["bytes"] = s.bytes, e["taken"] = s.taken;
+  }
+  void operator()(const FaultBegan& s) const { e["event"] = "fault", e["what"] = s.text; }
+  void operator()(const FaultEnded& s) const { e["event"] = "fault ended", e["what"] = s.text; }
+  void operator()(const Usage& s) const {
+    e["event"] = "usage", e["node"] = s.node, e["cpu_s"] = s.cpu_s, e["memory_mb"] = s.memory_mb;
+  }
+};
+
+// Few and far between, so that they are written without a trace too.
+bool always_written(const Seen& s) {
+  return std::holds_alternative<NodeUp>(s) || std::holds_alternative<NodeDown>(s) ||
+         std::holds_alternative<ServerStarted>(s) || std::holds_alternative<ServerFell>(s) ||
+         std::holds_alternative<CounterLost>(s) || std::holds_alternative<FaultBegan>(s) ||
+         std::holds_alternative<FaultEnded>(s);
+}
+
+}  // namespace
+
+int Played::status() const {
+  if (!crash.empty()) return 3;
+  return failures.empty() && breaches.empty() && void_because.empty() && !stopped ? 0 : 1;
+}
+
+Recorder::Recorder(const Options& options, Time begin)
+    : options_(options),
+      begin_(begin),
+      rules_(rule_terms(options.scenario)),
+      figures_(options.scenario, begin) {
+  if (!options.out) return;
+  std::filesystem::create_directories(*options.out);
+  events_.emplace(*options.out / "events.jsonl");
+  if (!*events_) throw std::runtime_error((*options.out / "events.jsonl").string() + " can't be written");
+  logs_.resize(options.scenario.fleet.nodes);
+}
+
+void Recorder::began(Time at) {
+  begin_ = at;
+  figures_ = Figures(options_.scenario, at);
+}
+
+void Recorder::event(Time now, json e) {
+  if (!events_) return;
+  json line = {{"t", std::round(seconds(now - begin_) * 1e6) / 1e6}};
+  line.update(e);
+  *events_ << line.dump() << '\n';
+}
+
+void Recorder::write(Time now, const Seen& s) {
+  if (!events_ || !(options_.trace || always_written(s))) return;
+  json e;
+  std::visit(Describe{e}, s);
+  event(now, std::move(e));
+}
+
+void Recorder::saw(Time now, const Seen& s) {
+  write(now, s);
+  rules_.saw(now, s);
+  figures_.saw(now, s, rules_);
+  if (now - passed_at_ > 250ms) rules_.pass(now), passed_at_ = now;
+  for (; breaches_told_ < rules_.breaches().size(); ++breaches_told_) {
+    const auto& b = rules_.breaches()[breaches_told_];
+    figures_.breached(b.at);
+    event(b.at, {{"event", "rule broken"}, {"rule", b.rule}, {"what", b.what}});
+  }
+}
+
+void Recorder::log(Time now, std::uint32_t node, const std::string& text) {
+  if (!options_.out || node >= logs_.size()) return;
+  auto& log = logs_[node];
+  if (!log) log = std::make_unique<std::ofstream>(*options_.out / ("node-" + std::to_string(node) + ".log"));
+  *log << number(seconds(now - begin_)) << ' ' << text << '\n';
+}
+
+Played Recorder::finish(Time now, const json& of_the_lab) {
+  rules_.pass(now + 1h);
+  for (; breaches_told_ < rules_.breaches().size(); ++breaches_told_)
+    figures_.breached(rules_.breaches()[breaches_told_].at);
+  Played o;
+  const double all = options_.scenario.fleet.seconds;
+  for (const auto& b : rules_.breaches())
+    o.breaches.push_back("rule broken at " + number(seconds(b.at - begin_)) + " s: " + b.rule + ": " +
+                         b.what);
+  json expectations = json::array();
+  for (const auto& e : options_.scenario.expectations) {
+    const double to = e.to.value_or(all);
+    const double value = figures_.value(e.figure, e.from, to).value_or(0);
+    const bool holds = (!e.at_most || value <= *e.at_most) && (!e.at_least || value >= *e.at_least);
+    std::string text = e.figure;
+    if (e.from > 0 || e.to) text += " from " + number(e.from) + " to " + number(to) + " s";
+    text += " is " + number(value);
+    if (e.at_least) text += ", at least " + number(*e.at_least);
+    if (e.at_most) text += ", at most " + number(*e.at_most);
+    expectations.push_back({{"text", text}, {"holds", holds}});
+    if (!holds) o.failures.push_back("expectation not met: " + text);
+  }
+  auto& j = o.figures;
+  j["scenario"] = options_.scenario.name, j["shows"] = options_.scenario.shows;
+  j["carrier"] = options_.processes ? "processes" : "model";
+  j["nodes"] = options_.scenario.fleet.nodes, j["servers"] = options_.scenario.servers.count;
+  j["seed"] = options_.seed, j["seconds"] = all;
+  for (const auto& name : Figures::names()) j["figures"][name] = figures_.value(name, 0, all).value_or(0);
+  j["rules"] = o.breaches, j["expectations"] = expectations, j["lab"] = of_the_lab;
+  j["by_second"] = json::array(), j["by_node"] = json::array(), j["by_zone"] = json::array();
+  for (std::size_t i = 0; i + 1 < figures_.seconds_of().size(); ++i) {
+    auto second = counts_json(figures_.seconds_of()[i]);
+    second["p50_ms"] = figures_.latency_ms(0.5, static_cast<double>(i), static_cast<double>(i + 1));
+    second["p99_ms"] = figures_.latency_ms(0.99, static_cast<double>(i), static_cast<double>(i + 1));
+    j["by_second"].push_back(std::move(second));
+  }
+  for (const auto& n : figures_.nodes()) j["by_node"].push_back(counts_json(n));
+  for (const auto& z : figures_.zones()) j["by_zone"].push_back(counts_json(z));
+  j["faults"] = json::array();
+  for (const auto& f : options_.scenario.faults)
+    j["faults"].push_back({{"at", f.at}, {"for", f.lasts}, {"what", text_of(f)}});
+  if (options_.out) {
+    std::ofstream file(*options_.out / "figures.json");
+    file << j.dump(1) << '\n';
+    if (!file.flush())
+      throw std::runtime_error((*options_.out / "figures.json").string() + " can't be written");
+  }
+  return o;
+}
+
+Played play(const Options& options) {
+  return options.processes ? play_processes(options) : play_model(options);
+}
+
+Played play_model(const Options& options) {
+  Agenda agenda(kModelBegins);
+  Recorder recorder(options, kModelBegins);
+  Model model(options.scenario, options.seed, agenda,
+              [&](Time now, std::uint32_t node, const std::string& text) { recorder.log(now, node, text); });
+  World world(options.scenario, options.seed, agenda, model,
+              [&](Time now, const Seen& s) { recorder.saw(now, s); });
+  model.serve(world);
+  world.begin(30s);
+  Time shown{};
+  bool began = false, stopped = false;
+  while (agenda.next() && !stopped) {
+    agenda.run_until(std::max(*agenda.next(), agenda.now() + kStep));
+    if (!began && world.clients_began()) began = true, recorder.began(world.began_at());
+    if (agenda.now() - shown >= kProgress) {
+      shown = agenda.now();
+      options.progress(began ? seconds(agenda.now() - world.began_at()) : 0, recorder.figures());
+      stopped = options.stopped();
+    }
+    if (began && (world.over() || agenda.now() > world.ends_at())) break;
+  }
+  auto outcome = recorder.finish(agenda.now(), {{"simulated_s", seconds(agenda.now() - kModelBegins)}});
+  outcome.stopped = stopped;
+  return outcome;
+}
+
+}  // namespace petrelrail::lab
--- /dev/null
+++ b/lab/experiment.hpp
@@ -0,0 +1,70 @@
+// One play of a scenario: the world, its carrier, the rules and the figures, and what is written down of it.
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "world/figures.hpp"
+#include "world/rules.hpp"
+#include "world/world.hpp"
+
+namespace petrelrail::lab {
+
+struct Options {
+  world::Scenario scenario;
+  std::uint64_t seed = 1;
+  bool processes = false;                    // the carrier; else the model
+  std::optional<std::filesystem::path> out;  // a folder for events, figures and logs
+  std::filesystem::path program;             // of the nodes, for the process carrier
+  bool trace = false;                        // every record of every request goes to the events
+  double most_lag_ms = 25;  // 99th percentile of the lab's own lag beyond which a play is void
+  std::function<bool()> stopped = [] { return false; };  // asked now and then: end, and write what there is
+  std::function<void(double seconds, const world::Figures&)> progress = [](double, const world::Figures&) {};
+};
+
+struct Played {
+  nlohmann::json figures;             // as written to figures.json
+  std::vector<std::string> failures;  // expectations that don't hold, each with figure and bound
+  std::vector<std::string> breaches;  // of rules
+  std::string crash;                  // of which node, with its last log lines; empty: none
+  std::string void_because;           // the lab itself ran late; empty: it did not
+  bool stopped = false;
+  int status() const;  // of the tool: 0, 1 or 3
+};
+
+// What both carriers share: records come in, rules and figures are kept, and in the end the outcome is drawn up.
+class Recorder {
+ public:
+  Recorder(const Options& options, Time begin);
+  void saw(Time now, const world::Seen& s);
+  void began(Time at);  // the clients
+  void log(Time now, std::uint32_t node, const std::string& text);
+  const world::Figures& figures() const { return figures_; }
+  Played finish(Time now, const nlohmann::json& of_the_lab);
+
+ private:
+  void write(Time now, const world::Seen& s);
+  void event(Time now, nlohmann::json e);
+
+  const Options& options_;
+  Time begin_;
+  world::Rules rules_;
+  world::Figures figures_;
+  std::size_t breaches_told_ = 0;
+  Time passed_at_{};
+  std::optional<std::ofstream> events_;
+  std::vector<std::unique_ptr<std::ofstream>> logs_;
+};
+
+// Throws std::runtime_error where the play can't begin.
+Played play(const Options& options);
+Played play_model(const Options& options);
+Played play_processes(const Options& options);
+
+}  // namespace petrelrail::lab
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 jobs=$(nproc 2>/dev/null || echo 2)
 sh scripts/packages.sh
 
-cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_TESTS=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
+cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_TESTS=ON -DPETRELRAIL_LAB=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
 cmake --build build-test -j "$jobs"
 ctest --test-dir build-test --output-on-failure -j "$jobs"
 
@@ -14,6 +14,6 @@
 cmake --build build-test/consumer -j "$jobs"
 build-test/consumer/petrelrail_example
 
-cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DPETRELRAIL_TESTS=ON -DPETRELRAIL_SANITIZE=ON
+cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DPETRELRAIL_TESTS=ON -DPETRELRAIL_LAB=ON -DPETRELRAIL_SANITIZE=ON
 cmake --build build-asan -j "$jobs"
 ctest --test-dir build-asan --output-on-failure -j "$jobs"
--- /dev/null
+++ b/src/world/figures.cpp
@@ -0,0 +1,223 @@
+#include "figures.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "configuration.hpp"
+#include "helpers.hpp"
+
+namespace petrelrail::world {
+namespace {
+
+constexpr std::array<const char*, static_cast<std::size_t>(Count::number_of)> kNames{
+    "asked", "tries",      "served",    "refused",        "failed",       "unreachable",
+    "lost",  "late",       "beyond",    "attempts",       "handshakes",   "no_connect",
+    "calls", "calls_mute", "datagrams", "datagram_bytes", "datagrams_in", "breaches"};
+
+constexpr double kLeastMs = 1, kMostMs = 60000;
+constexpr unsigned kBins = 220;  // about 5% each
+
+double share(double part, double all) { return all > 0 ? part / all : 0; }
+
+}  // namespace
+
+const char* name_of(Count c) { return kNames[static_cast<std::size_t>(c)]; }
+
+Figures::Counts& Figures::Counts::operator+=(const Counts& other) {
+  for (std::size_t i = 0; i < n.size(); ++i) n[i] += other.n[i];
+  earned += other.earned, offered += other.offered, over_price += other.over_price;
+  return *this;
+}
+
+Figures::Figures(const Scenario& scenario, Time begin)
+    : scenario_(scenario),
+      plans_(plans_of(scenario)),
+      begin_(begin),
+      seconds_(static_cast<std::size_t>(std::ceil(scenario.fleet.seconds)) + 1),
+      nodes_(scenario.fleet.nodes),
+      latency_(seconds_.size(), boost::histogram::make_histogram(Axis(kBins, kLeastMs, kMostMs))) {}
+
+std::size_t Figures::index(Time at) const {
+  const double s = seconds(at - begin_);
+  return std::min(seconds_.size() - 1, static_cast<std::size_t>(std::max(0.0, s)));
+}
+
+void Figures::add(Time at, std::uint32_t node, Count c, std::uint64_t n) {
+  second(at)[c] += n;
+  if (node < nodes_.size()) nodes_[node][c] += n;
+}
+
+// What one gateway that saw all first tries would let in.
+void Figures::asked(Time now, const TrySent& s) {
+  add(now, s.node, Count::asked);
+  if (s.plan >= plans_.size()) return;
+  const auto& p = plans_[s.plan];
+  auto [it, fresh] = stores_.try_emplace(s.customer, Store{p.burst, now});
+  auto& store = it->second;
+  if (!fresh) store = {std::min(p.burst, store.held + p.rate * seconds(now - store.at)), now};
+  const bool fits = p.rate <= 0 || store.held >= s.units;
+  if (fits) store.held -= s.units;
+  const double worth = p.price * s.units * (fits ? 1 : p.over_worth);
+  second(now).offered += worth;
+  if (s.node < nodes_.size()) nodes_[s.node].offered += worth;
+}
+
+void Figures::served(Time now, Request& r, bool inside) {
+  if (std::exchange(done_[r.root], true)) return;
+  const double ms = seconds(now - r.asked) * 1e3;
+  const bool late = ms > scenario_.clients.aim_ms;
+  // By the second in which it was asked for, so that shares hold for a span.
+  add(r.asked, r.node, Count::served);
+  latency_[index(r.asked)](std::max(ms, kLeastMs));
+  if (late) add(r.asked, r.node, Count::late);
+  if (late || r.plan >= plans_.size()) return;
+  const auto& p = plans_[r.plan];
+  const double worth = p.price * r.units * (inside ? 1 : p.over_worth);
+  second(r.asked).earned += worth;
+  if (r.node < nodes_.size()) nodes_[r.node].earned += worth;
+}
+
+void Figures::saw(Time now, const Seen& s, const Rules& rules) {
+  if (const auto* e = std::get_if<TrySent>(&s)) {
+    if (e->id == e->root) asked(now, *e);
+    add(now, e->node, Count::tries);
+    open_[e->id] = {e->node, e->plan, e->units, e->asked, now, e->root, false, false};
+    if (e->id == e->root) done_[e->root] = false;
+    return;
+  }
+  const auto request = [&](TryId id) -> Request* {
+    const auto it = open_.find(id);
+    return it == open_.end() || it->second.ended ? nullptr : &it->second;
+  };
+  const auto end = [&](TryId id, Count c) {
+    if (auto* r = request(id)) add(r->sent, r->node, c), r->ended = true;
+  };
+  if (const auto* a = std::get_if<TryAnswered>(&s)) {
+    auto* r = request(a->id);
+    if (r == nullptr) return;
+    r->ended = true;
+    if (a->verdict == Verdict::served && a->genuine) return served(now, *r, rules.inside(a->id));
+    add(r->sent, r->node, a->verdict == Verdict::refused ? Count::refused : Count::failed);
+  } else if (const auto* b = std::get_if<TryBroken>(&s)) {
+    end(b->id, Count::failed);
+  } else if (const auto* u = std::get_if<TryUnreachable>(&s)) {
+    end(u->id, Count::unreachable);
+  } else if (const auto* l = std::get_if<TryLeft>(&s)) {
+    if (request(l->id) != nullptr && now > request(l->id)->sent)
+      add(request(l->id)->sent, request(l->id)->node, Count::lost);
+    end(l->id, Count::failed);
+  } else if (const auto* t = std::get_if<AttemptArrived>(&s)) {
+    add(now, t->node, Count::attempts);
+    auto* r = request(t->id);
+    if (r == nullptr || std::exchange(r->counted, true) || rules.inside(t->id)) return;
+    add(now, t->node, Count::beyond);
+    if (r->plan < plans_.size())
+      second(now).over_price += plans_[r->plan].over_cost * plans_[r->plan].price * r->units;
+  } else if (const auto* h = std::get_if<Handshake>(&s)) {
+    add(now, h->node, h->up ? Count::handshakes : Count::no_connect);
+  } else if (const auto* c = std::get_if<CounterCalled>(&s)) {
+    add(now, c->node, Count::calls);
+    if (!c->answered) add(now, c->node, Count::calls_mute);
+  } else if (const auto* d = std::get_if<Datagram>(&s)) {
+    add(now, d->from, Count::datagrams);
+    add(now, d->from, Count::datagram_bytes, d->bytes);
+    if (!d->taken) return;
+    add(now, d->to, Count::datagrams_in);
+    auto& [at, n] = in_[d->to];
+    if (at != index(now)) at = index(now), n = 0;
+    most_in_ = std::max(most_in_, ++n);
+  } else if (const auto* use = std::get_if<Usage>(&s)) {
+    auto& last = spent_[use->node];
+    if (use->cpu_s < last.cpu_s) before_[use->node].cpu_s += last.cpu_s;  // a new life
+    last.cpu_s = use->cpu_s;
+    last.memory_mb = std::max(last.memory_mb, use->memory_mb);
+  }
+}
+
+Figures::Counts Figures::total() const {
+  return std::accumulate(seconds_.begin(), seconds_.end(), Counts{},
+                         [](Counts a, const Counts& b) { return a += b; });
+}
+
+std::vector<Figures::Counts> Figures::zones() const {
+  std::vector<Counts> zones(scenario_.fleet.zones.size());
+  for (std::size_t i = 0; i < nodes_.size(); ++i) zones[i % zones.size()] += nodes_[i];
+  return zones;
+}
+
+Figures::Spent Figures::spent() const {
+  Spent all;
+  for (const auto& [node, s] : spent_) {
+    all.cpu_s += s.cpu_s;
+    all.memory_mb = std::max(all.memory_mb, s.memory_mb);
+  }
+  for (const auto& [node, s] : before_) all.cpu_s += s.cpu_s;
+  return all;
+}
+
+Figures::Histogram Figures::merged(double from, double to) const {
+  auto all = boost::histogram::make_histogram(Axis(kBins, kLeastMs, kMostMs));
+  for (std::size_t i = 0; i < latency_.size(); ++i)
+    if (static_cast<double>(i) >= std::floor(from) && static_cast<double>(i) < to) all += latency_[i];
+  return all;
+}
+
+double Figures::latency_ms(double part, double from, double to) const {
+  const auto all = merged(from, to);
+  const double n = boost::histogram::algorithm::sum(all);
+  double seen = 0;
+  for (const auto& bin : boost::histogram::indexed(all)) {
+    seen += static_cast<double>(*bin);
+    if (n > 0 && seen >= part * n) return bin.bin().center();
+  }
+  return 0;
+}
+
+std::vector<std::string> Figures::names() {
+  std::vector<std::string> names(kNames.begin(), kNames.end());
+  for (const char* n :
+       {"served_share", "refused_share", "failed_share", "late_share", "beyond_share", "worth", "g", "p50_ms",
+        "p90_ms", "p99_ms", "calls_per_s", "calls_per_try", "calls_mute_share", "handshakes_per_try",
+        "attempts_per_try", "bytes_per_try", "most_datagrams_in", "cpu_us_per_try", "memory_mb"})
+    names.emplace_back(n);
+  return names;
+}
+
+std::optional<double> Figures::value(const std::string& name, double from, double to) const {
+  Counts c;
+  double span = 0;
+  for (std::size_t i = 0; i < seconds_.size(); ++i) {
+    const bool after = i + 1 == seconds_.size() && to >= scenario_.fleet.seconds;  // what was out at the end
+    if (static_cast<double>(i) >= std::floor(from) && (after || static_cast<double>(i) < to))
+      c += seconds_[i], span += after ? 0 : 1;
+  }
+  const auto n = [&](Count x) { return static_cast<double>(c[x]); };
+  for (std::size_t i = 0; i < kNames.size(); ++i)
+    if (name == kNames[i]) return static_cast<double>(c.n[i]);
+  const double worth = share(c.earned, c.offered);
+  if (name == "served_share") return share(n(Count::served), n(Count::asked));
+  if (name == "refused_share") return share(n(Count::refused), n(Count::tries));
+  if (name == "failed_share") return share(n(Count::failed) + n(Count::unreachable), n(Count::tries));
+  if (name == "late_share") return share(n(Count::late), n(Count::served));
+  if (name == "beyond_share") return share(n(Count::beyond), n(Count::attempts));
+  if (name == "worth") return worth;
+  if (name == "g")
+    return worth - share(c.over_price, c.offered) -
+           scenario_.counter.price * share(n(Count::calls), n(Count::asked));
+  if (name == "p50_ms") return latency_ms(0.5, from, to);
+  if (name == "p90_ms") return latency_ms(0.9, from, to);
+  if (name == "p99_ms") return latency_ms(0.99, from, to);
+  if (name == "calls_per_s") return share(n(Count::calls), std::min(span, to - from));
+  if (name == "calls_per_try") return share(n(Count::calls), n(Count::tries));
+  if (name == "calls_mute_share") return share(n(Count::calls_mute), n(Count::calls));
+  if (name == "handshakes_per_try") return share(n(Count::handshakes), n(Count::tries));
+  if (name == "attempts_per_try") return share(n(Count::attempts), n(Count::tries));
+  if (name == "bytes_per_try") return share(n(Count::datagram_bytes), n(Count::asked));
+  if (name == "most_datagrams_in") return static_cast<double>(most_in_);
+  if (name == "cpu_us_per_try") return 1e6 * share(spent().cpu_s, static_cast<double>(total()[Count::tries]));
+  if (name == "memory_mb") return spent().memory_mb;
+  return std::nullopt;
+}
+
+}  // namespace petrelrail::world
--- /dev/null
+++ b/src/world/model.cpp
@@ -0,0 +1,511 @@
+#include "model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration.hpp"
+#include "helpers.hpp"
+
+namespace petrelrail::world {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Of src/node, as far as a fleet's course depends on it.
+constexpr Duration kDrainLooks = 20ms;     // a node that ends looks so often whether all is done
+constexpr Duration kNewAfterTerm = 600ms;  // and takes new connections for so long
+constexpr int kSilentCounter = 10;         // time-outs without an answer: the link is taken for dead
+constexpr Duration kCounterBack = 450ms;   // at most until a link comes up again: connect limit and backoff
+constexpr double kIdlePart = 0.8;          // of the servers' idle limit, for which a connection is kept
+
+ListUpdate update_of(ListKind kind, std::span<const Entry> entries) {
+  ListUpdate u{kind, {}};
+  for (const auto& e : entries)
+    u.entries.push_back({ServerId(e.server), ZoneIndex(e.zone), e.cell, e.phase, e.started, e.size});
+  return u;
+}
+
+}  // namespace
+
+// One life of a node's program.
+class Model::Process final : public LinkView, public std::enable_shared_from_this<Process> {
+ public:
+  Process(Model& model, std::uint32_t node, std::uint64_t seed)
+      : model_(model),
+        node_(node),
+        dice_(seed),
+        settings_(reading::read_settings(settings_of(model.scenario_, node)).settings),
+        gateway_(settings_, seed, this),
+        heard_(model.agenda_.now()) {}
+
+  Links links(ServerId server) const override {
+    const auto it = pools_.find(static_cast<std::uint32_t>(server));
+    if (it == pools_.end()) return {};
+    const Time now = model_.agenda_.now();
+    const auto& idle = it->second.idle;
+    const auto fresh = std::ranges::count_if(idle, [&](Time since) { return now - since < keep(); });
+    return {static_cast<std::uint32_t>(fresh), it->second.open};
+  }
+
+  void happened(Event event) {
+    if (ended_) return;
+    events_.push_back(std::move(event));
+    if (std::exchange(telling_, true)) return;
+    while (!events_.empty()) {
+      const Event next = std::move(events_.front());
+      events_.pop_front();
+      for (const auto& action : gateway_.handle(model_.agenda_.now(), next))
+        std::visit([this](const auto& a) { carry_out(a); }, action);
+    }
+    telling_ = false;
+  }
+
+  void arrived(const Try& t) {
+    const RequestId id{static_cast<std::uint64_t>(t.id)};
+    open_.emplace(id, Open{t.id, {}, false});
+    happened(Arrival{id, ClassIndex(0), PlanIndex(t.plan), t.customer, t.deadline - t.sent, t.units, t.spread,
+                     t.number > 0});
+  }
+
+  void client_gone(TryId id) {
+    const RequestId request{static_cast<std::uint64_t>(id)};
+    const auto it = open_.find(request);
+    if (it == open_.end() || std::exchange(it->second.answered, true)) return;
+    happened(ClientGone{request});
+    forget_if_done(request);
+  }
+
+  // An answer has reached the node.
+  void came(RequestId request, std::uint32_t attempt, ServerAnswer answer) {
+    switch (answer) {
+      case ServerAnswer::ok: return over(request, attempt, Outcome::ok, true);
+      case ServerAnswer::error: return over(request, attempt, Outcome::error, true);
+      case ServerAnswer::full: return over(request, attempt, Outcome::full, true);
+      case ServerAnswer::spoilt: return over(request, attempt, Outcome::reset, false);
+    }
+  }
+
+  // The server's process has ended, or is a new one: all connections to it are reset.
+  void reset(std::uint32_t server) {
+    if (const auto it = pools_.find(server); it != pools_.end()) it->second = {};
+    std::vector<std::pair<RequestId, std::uint32_t>> hit;
+    for (const auto& [id, o] : open_)
+      for (std::uint32_t i = 0; i < o.attempts.size(); ++i)
+        if (!o.attempts[i].over && o.attempts[i].server == server && o.attempts[i].connected)
+          hit.emplace_back(id, i);
+    for (const auto& [id, i] : hit) {
+      auto& a = open_.at(id).attempts[i];
+      a.linked = false;
+      over(id, i, a.delivered ? Outcome::reset : Outcome::connect_failed, false);
+    }
+  }
+
+  void network_changed() {
+    if (model_.world_->counter_would_connect(node_) == Connect::up) {
+      if (counter_lost_) {
+        counter_lost_ = false;
+        counter_up_at_ = model_.agenda_.now() + scaled(kCounterBack, dice_.part());
+      }
+    } else if (model_.world_->counter_would_connect(node_) == Connect::refused) {
+      counter_lost_ = true;
+    }
+  }
+
+  void end() {
+    ended_ = true;
+    for (auto& [server, pool] : pools_)
+      for (std::uint32_t i = 0; i < pool.open; ++i) model_.world_->closed(node_, server);
+    for (const auto& [id, o] : open_) {
+      for (const auto& a : o.attempts)
+        if (!a.over && a.number != AttemptNumber::none) {
+          model_.flights_.erase(a.number);
+          model_.world_->attempt_left(a.number);
+        }
+      if (!o.answered)
+        model_.agenda_.after(model_.world_->client_way(),
+                             [world = model_.world_, id = o.id] { world->broken(id, false); });
+      model_.holders_.erase(o.id);
+    }
+    open_.clear(), pools_.clear();
+  }
+
+  void retune(std::uint32_t max_attempts) {
+    auto next = std::make_shared<Settings>(
+        reading::read_settings(settings_of(model_.scenario_, node_, max_attempts)).settings);
+    validate_change(settings_, *next);
+    happened(Retune{std::move(next)});
+  }
+
+  Gateway& gateway() { return gateway_; }
+  bool idle() const { return open_.empty(); }
+  bool ended() const { return ended_; }
+  std::uint32_t node() const { return node_; }
+
+ private:
+  struct Attempt {
+    std::uint32_t server = 0;
+    Time began{};
+    AttemptNumber number = AttemptNumber::none;
+    Duration connect{};
+    bool linked = false;     // holds a connection, or one that comes up
+    bool connected = false;  // that is up
+    bool delivered = false;  // written whole
+    bool over = false;
+  };
+  struct Open {
+    TryId id{};
+    std::vector<Attempt> attempts;
+    bool answered = false;
+  };
+  struct Pool {
+    std::deque<Time> idle;  // and since when, the latest last
+    std::uint32_t open = 0;
+  };
+
+  Duration keep() const { return from_seconds(kIdlePart * model_.scenario_.servers.idle_s); }
+
+  template <class What>
+  void later(Duration delay, What what) {
+    model_.agenda_.after(delay, [self = shared_from_this(), what]() mutable {
+      if (self->ended_) return;
+      self->model_.enter(self->node_, [self, what]() mutable {
+        if (!self->ended_) what(*self);
+      });
+    });
+  }
+
+  Attempt* attempt(RequestId request, std::uint32_t n) {
+    const auto it = open_.find(request);
+    if (it == open_.end() || n >= it->second.attempts.size() || it->second.attempts[n].over) return nullptr;
+    return &it->second.attempts[n];
+  }
+
+  void carry_out(const Send& s) {
+    const auto it = open_.find(s.request);
+    if (it == open_.end()) return;
+    const auto server = static_cast<std::uint32_t>(s.server);
+    const auto n = static_cast<std::uint32_t>(it->second.attempts.size());
+    it->second.attempts.push_back({.server = server, .began = model_.agenda_.now(), .linked = true});
+    auto& a = it->second.attempts.back();
+    later(s.timeout, [request = s.request, n](Process& p) { p.overdue(request, n); });
+    auto& pool = pools_[server];
+    while (!pool.idle.empty() && model_.agenda_.now() - pool.idle.front() >= keep()) {
+      pool.idle.pop_front(), --pool.open;
+      model_.world_->closed(node_, server);
+    }
+    if (!pool.idle.empty()) {
+      pool.idle.pop_back();
+      a.connected = true;
+      return deliver(s.request, n);
+    }
+    const auto met = model_.world_->connect(node_, server);
+    if (met != Connect::up) {
+      a.linked = false;
+      const auto fails = met == Connect::refused ? 2 * model_.world_->way(node_, server)
+                                                 : settings_.connect_timeout;
+      return later(fails, [request = s.request, n](Process& p) {
+        p.over(request, n, Outcome::connect_failed, false);
+      });
+    }
+    ++pool.open;
+    a.connected = true;  // for the server it is there
+    a.connect = model_.world_->handshake(node_, server);
+    later(a.connect, [request = s.request, n](Process& p) { p.deliver(request, n); });
+  }
+
+  void deliver(RequestId request, std::uint32_t n) {
+    auto* a = attempt(request, n);
+    if (a == nullptr) return;
+    a->delivered = true;
+    const auto way = model_.world_->way(node_, a->server);
+    const Time first_byte = model_.agenda_.now();
+    model_.agenda_.after(way, [self = shared_from_this(), request, n, first_byte] {
+      auto* sent = self->attempt(request, n);
+      if (self->ended_ || sent == nullptr) return;
+      sent->number = self->model_.world_->attempt(self->node_, sent->server,
+                                                  TryId(static_cast<std::uint64_t>(request)), first_byte);
+      if (sent->number != AttemptNumber::none)
+        self->model_.flights_[sent->number] = {self, request, n, sent->server};
+    });
+  }
+
+  void overdue(RequestId request, std::uint32_t n) {
+    if (auto* a = attempt(request, n))
+      over(request, n, a->delivered ? Outcome::timeout : Outcome::connect_failed, false);
+  }
+
+  void over(RequestId request, std::uint32_t n, Outcome outcome, bool keep_link) {
+    auto* a = attempt(request, n);
+    if (a == nullptr) return;
+    a->over = true;
+    auto& pool = pools_[a->server];
+    if (a->linked && keep_link) {
+      pool.idle.push_back(model_.agenda_.now());
+    } else if (a->linked && pool.open > 0) {
+      --pool.open;
+      model_.world_->closed(node_, a->server);
+    }
+    if (a->number != AttemptNumber::none && !keep_link) {
+      model_.flights_.erase(a->number);
+      model_.world_->attempt_left(a->number);
+    }
+    auto& o = open_.at(request);
+    if (outcome == Outcome::ok && !o.answered) finish(o, Verdict::served, {});
+    AttemptEnded e{.request = request, .attempt = n, .server = ServerId(a->server), .outcome = outcome};
+    e.took = model_.agenda_.now() - a->began;
+    e.finished = o.answered;
+    e.connect = a->connect;
+    forget_if_done(request);
+    happened(e);
+  }
+
+  void forget_if_done(RequestId request) {
+    const auto it = open_.find(request);
+    if (it == open_.end() || !it->second.answered) return;
+    if (std::ranges::any_of(it->second.attempts, [](const Attempt& a) { return !a.over; })) return;
+    model_.holders_.erase(it->second.id);
+    open_.erase(it);
+  }
+
+  void finish(Open& o, Verdict verdict, Duration retry_after) {
+    o.answered = true;
+    model_.agenda_.after(model_.world_->client_way(),
+                         [world = model_.world_, id = o.id, verdict, retry_after] {
+                           world->answered(id, verdict, retry_after, true);
+                         });
+  }
+
+  void finish(RequestId request, Verdict verdict, Duration retry_after) {
+    const auto it = open_.find(request);
+    if (it == open_.end() || it->second.answered) return;
+    finish(it->second, verdict, retry_after);
+    forget_if_done(request);
+  }
+
+  void carry_out(const Refuse& s) { finish(s.request, Verdict::refused, s.retry_after); }
+  void carry_out(const Fail& s) { finish(s.request, Verdict::failed, {}); }
+  void carry_out(const Cancel& s) { over(s.request, s.attempt, Outcome::cancelled, false); }
+
+  void carry_out(const AddToCount& s) {
+    const Time now = model_.agenda_.now();
+    const auto met = model_.world_->counter_would_connect(node_);
+    if (met == Connect::refused || (met == Connect::up && now < counter_up_at_))
+      return happened(CountAnswer{s.name, CountOutcome::refused, 0, {}});
+    const bool dead = met == Connect::silent && now - heard_ > kSilentCounter * settings_.counter_timeout;
+    counter_lost_ = counter_lost_ || dead;
+    const auto told = std::make_shared<bool>(false);
+    later(settings_.counter_timeout, [name = s.name, told, dead](Process& p) {
+      if (!std::exchange(*told, true))
+        p.happened(CountAnswer{name, dead ? CountOutcome::refused : CountOutcome::timeout, 0,
+                               p.settings_.counter_timeout});
+    });
+    if (dead) return;  // it waits for a connection that does not come up, and is taken back
+    const Counter::Call call{std::to_string(static_cast<std::uint64_t>(s.name)), s.amount, s.lifetime};
+    model_.world_->call(node_, call,
+                        [self = shared_from_this(), name = s.name, told, now](const Counter::Answer& a) {
+                          self->model_.enter(self->node_, [self, name, told, now, a] {
+                            using Kind = Counter::Answer::Kind;
+                            self->heard_ = self->model_.agenda_.now();
+                            if (self->ended_ || std::exchange(*told, true)) return;
+                            const auto outcome = a.kind == Kind::ok       ? CountOutcome::ok
+                                                 : a.kind == Kind::spoilt ? CountOutcome::timeout
+                                                                          : CountOutcome::refused;
+                            self->happened(CountAnswer{name, outcome, a.total, self->heard_ - now});
+                          });
+                        });
+  }
+
+  void carry_out(const SetTimer& s) {
+    later(std::max(s.delay, Duration(1)), [timer = s.timer](Process& p) { p.happened(TimerDue{timer}); });
+  }
+  void carry_out(const Probe& s) {
+    later(settings_.connect_timeout, [server = s.server](Process& p) {
+      p.happened(ProbeEnded{server, Outcome::timeout, {}, {}});
+    });
+  }
+  void carry_out(const Release& s) {
+    const auto server = static_cast<std::uint32_t>(s.server);
+    auto& pool = pools_[server];
+    while (pool.idle.size() > s.keep) {
+      pool.idle.pop_front(), --pool.open;
+      model_.world_->closed(node_, server);
+    }
+  }
+  void carry_out(const Subscribe&) {}
+  void carry_out(const Log& s) { model_.logged_(model_.agenda_.now(), node_, s.text); }
+
+  Model& model_;
+  std::uint32_t node_;
+  Dice dice_;
+  Settings settings_;
+  Gateway gateway_;
+  std::map<RequestId, Open> open_;
+  std::map<std::uint32_t, Pool> pools_;
+  std::deque<Event> events_;
+  bool telling_ = false, ended_ = false, counter_lost_ = false;
+  Time heard_, counter_up_at_{};
+};
+
+Model::Model(const Scenario& scenario, std::uint64_t seed, Agenda& agenda, Logged logged)
+    : scenario_(scenario),
+      dice_(Dice(mix(seed)).stream("model")),
+      agenda_(agenda),
+      logged_(std::move(logged)),
+      nodes_(scenario.fleet.nodes) {}
+
+Model::~Model() = default;
+
+void Model::enter(std::uint32_t node, std::function<void()> what) {
+  auto& n = nodes_[node];
+  if (n.stalled)
+    n.waiting.push_back(std::move(what));
+  else
+    what();
+}
+
+std::shared_ptr<Model::Process> Model::new_process(std::uint32_t node) {
+  const auto life = ++nodes_[node].lives;
+  return std::make_shared<Process>(*this, node, dice_.stream("node", mix(node) + life).seed());
+}
+
+void Model::start_node(std::uint32_t node) {
+  agenda_.after(from_seconds(scenario_.fleet.start_s), [this, node, life = nodes_[node].lives] {
+    auto& n = nodes_[node];
+    if (n.lives != life) return;
+    n.serving = new_process(node);
+    std::vector<Entry> known;
+    for (const auto& [number, e] : world_->list(node).entries) known.push_back(e);
+    n.serving->happened(update_of(ListKind::cached, known));
+    world_->node_ready(node);
+  });
+}
+
+void Model::kill_node(std::uint32_t node) {
+  auto& n = nodes_[node];
+  ++n.lives;
+  n.stalled = false, n.waiting.clear();
+  for (const auto& p : std::exchange(n.leaving, {})) p->end();
+  if (const auto p = std::exchange(n.serving, nullptr)) p->end();
+}
+
+void Model::term_node(std::uint32_t node) {
+  struct Look {
+    Model& model;
+    std::shared_ptr<Process> process;
+    Time from;
+    void operator()() const {
+      if (process->ended()) return;
+      const auto& n = model.nodes_[process->node()];
+      if (n.stalled || !process->idle() || model.agenda_.now() < from + kNewAfterTerm)
+        return model.agenda_.after(kDrainLooks, *this);
+      process->end();
+      auto& mine = model.nodes_[process->node()];
+      std::erase(mine.leaving, process);
+      if (mine.serving != process) return;
+      mine.serving = nullptr;
+      model.world_->node_ended(process->node());
+    }
+  };
+  if (nodes_[node].serving) Look{*this, nodes_[node].serving, agenda_.now()}();
+}
+
+void Model::stall_node(std::uint32_t node, bool stalled) {
+  auto& n = nodes_[node];
+  n.stalled = stalled;
+  while (!n.stalled && !n.waiting.empty()) {
+    const auto next = std::move(n.waiting.front());
+    n.waiting.pop_front();
+    next();
+  }
+}
+
+void Model::reload_node(std::uint32_t node, const Fault& fault) {
+  if (nodes_[node].serving) enter(node, [p = nodes_[node].serving, n = fault.max_attempts] { p->retune(n); });
+}
+
+void Model::upgrade_node(std::uint32_t node) {
+  if (!nodes_[node].serving) return;
+  agenda_.after(from_seconds(scenario_.fleet.start_s), [this, node, old = nodes_[node].serving] {
+    auto& n = nodes_[node];
+    if (n.serving != old || old->ended()) return;
+    auto next = new_process(node);
+    std::vector<Entry> known;
+    for (const auto& [number, e] : world_->list(node).entries) known.push_back(e);
+    next->happened(update_of(ListKind::cached, known));
+    next->happened(TakeOver{std::make_shared<const Succession>(old->gateway().hand_over(agenda_.now()))});
+    n.leaving.push_back(old);
+    n.serving = next;
+    struct Look {
+      Model& model;
+      std::shared_ptr<Process> process;
+      void operator()() const {
+        if (process->ended()) return;
+        if (!process->idle()) return model.agenda_.after(kDrainLooks, *this);
+        process->end();
+        std::erase(model.nodes_[process->node()].leaving, process);
+      }
+    };
+    agenda_.after(kNewAfterTerm, Look{*this, old});
+  });
+}
+
+void Model::submit(const Try& t) {
+  agenda_.after(world_->client_way(), [this, id = t.id] {
+    const auto* sent = world_->find(id);
+    if (sent == nullptr) return;
+    const auto& process = nodes_[sent->node].serving;
+    if (!process) {
+      agenda_.after(world_->client_way(), [this, id] { world_->unreachable(id); });
+      return;
+    }
+    world_->taken(id);
+    holders_[id] = process;
+    enter(sent->node, [process, copy = *sent] { process->arrived(copy); });
+  });
+}
+
+void Model::leave(TryId id) {
+  agenda_.after(world_->client_way(), [this, id] {
+    const auto it = holders_.find(id);
+    if (it == holders_.end()) return;
+    enter(it->second->node(), [process = it->second, id] {
+      if (!process->ended()) process->client_gone(id);
+    });
+  });
+}
+
+void Model::answer(AttemptNumber attempt, ServerAnswer answer) {
+  const auto it = flights_.find(attempt);
+  if (it == flights_.end()) return;
+  const auto f = it->second;
+  flights_.erase(it);
+  agenda_.after(world_->way(f.process->node(), f.server), [this, f, answer] {
+    if (f.process->ended()) return;
+    enter(f.process->node(), [f, answer] {
+      if (!f.process->ended()) f.process->came(f.request, f.attempt, answer);
+    });
+  });
+}
+
+void Model::reset_connections(std::uint32_t server) {
+  for (auto& n : nodes_) {
+    if (n.serving) n.serving->reset(server);
+    for (const auto& p : n.leaving) p->reset(server);
+  }
+}
+
+void Model::list_changed(std::uint32_t node, std::span<const Entry> changes, std::int64_t) {
+  auto& n = nodes_[node];
+  const auto update = update_of(ListKind::changes, changes);
+  for (const auto& p : n.leaving) enter(node, [p, update] { p->happened(update); });
+  if (n.serving) enter(node, [p = n.serving, update] { p->happened(update); });
+}
+
+void Model::network_changed() {
+  for (auto& n : nodes_) {
+    if (n.serving) n.serving->network_changed();
+    for (const auto& p : n.leaving) p->network_changed();
+  }
+}
+
+}  // namespace petrelrail::world
--- /dev/null
+++ b/src/world/model.hpp
@@ -0,0 +1,69 @@
+// The model carrier: the real Gateway of every node on one simulated clock, with hundreds of nodes as discrete events.
+// The same scenario and seed give the same course to the last event. What stands in for src/node (connections,
+// time-outs, the counter's links, a process's life) is told in docs/lab.md; a node's own processor time is not modelled.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "settings_reader.hpp"
+#include "world.hpp"
+
+namespace petrelrail::world {
+
+class Model final : public Carrier {
+ public:
+  using Logged = std::function<void(Time, std::uint32_t node, const std::string& text)>;
+
+  Model(const Scenario& scenario, std::uint64_t seed, Agenda& agenda, Logged logged);
+  ~Model() override;
+  void serve(World& world) { world_ = &world; }
+
+  void start_node(std::uint32_t node) override;
+  void kill_node(std::uint32_t node) override;
+  void term_node(std::uint32_t node) override;
+  void stall_node(std::uint32_t node, bool stalled) override;
+  void reload_node(std::uint32_t node, const Fault& fault) override;
+  void upgrade_node(std::uint32_t node) override;
+  void submit(const Try& t) override;
+  void leave(TryId id) override;
+  void answer(AttemptNumber attempt, ServerAnswer answer) override;
+  void server_added(std::uint32_t) override {}
+  void reset_connections(std::uint32_t server) override;
+  void list_changed(std::uint32_t node, std::span<const Entry> changes, std::int64_t revision) override;
+  void network_changed() override;
+  void datagram(std::uint32_t, std::uint32_t, std::string_view) override {
+  }  // no part of a node sends any yet
+
+ private:
+  class Process;
+  struct Node {
+    std::shared_ptr<Process> serving;               // takes new requests
+    std::vector<std::shared_ptr<Process>> leaving;  // predecessors that finish what they have
+    bool stalled = false;
+    std::deque<std::function<void()>> waiting;  // for it to go on
+    std::uint64_t lives = 0;
+  };
+  struct Flight {  // an attempt at a price server
+    std::shared_ptr<Process> process;
+    RequestId request{};
+    std::uint32_t attempt = 0, server = 0;
+  };
+
+  // Runs now, or once the node goes on.
+  void enter(std::uint32_t node, std::function<void()> what);
+  std::shared_ptr<Process> new_process(std::uint32_t node);
+
+  const Scenario& scenario_;
+  Dice dice_;
+  Agenda& agenda_;
+  Logged logged_;
+  World* world_ = nullptr;
+  std::vector<Node> nodes_;
+  std::unordered_map<AttemptNumber, Flight> flights_;
+  std::unordered_map<TryId, std::shared_ptr<Process>> holders_;
+};
+
+}  // namespace petrelrail::world
--- /dev/null
+++ b/src/world/world.cpp
@@ -0,0 +1,870 @@
+#include "world.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+
+#include "configuration.hpp"
+#include "helpers.hpp"
+
+namespace petrelrail::world {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kFrontStops = 200ms, kFrontStopsMore = 200ms;  // after SIGTERM: PROTOCOL, "Figures"
+constexpr Duration kQuickError = 1ms;                             // in which a bad server fails
+constexpr Duration kTurnAway = 200us;                             // and in which one turns away
+constexpr double kFullUse = 0.95;       // of its rate, by a customer that uses nearly all
+constexpr double kBackoffSpread = 0.5;  // of a client's backoff, either way
+
+constexpr std::array<std::pair<FaultKind, const char*>, 20> kFaults{{
+    {FaultKind::kill, "kill"},
+    {FaultKind::restart, "restart"},
+    {FaultKind::stall, "stall"},
+    {FaultKind::reload, "reload"},
+    {FaultKind::upgrade, "upgrade"},
+    {FaultKind::cut, "cut"},
+    {FaultKind::counter_slow, "counter_slow"},
+    {FaultKind::counter_silent, "counter_silent"},
+    {FaultKind::counter_refusing, "counter_refusing"},
+    {FaultKind::counter_empty, "counter_empty"},
+    {FaultKind::counter_spoilt, "counter_spoilt"},
+    {FaultKind::zone_lost, "zone_lost"},
+    {FaultKind::servers_bad, "servers_bad"},
+    {FaultKind::servers_slow, "servers_slow"},
+    {FaultKind::servers_gone, "servers_gone"},
+    {FaultKind::servers_replaced, "servers_replaced"},
+    {FaultKind::answers_spoilt, "answers_spoilt"},
+    {FaultKind::burst, "burst"},
+    {FaultKind::list_late, "list_late"},
+    {FaultKind::peers_lossy, "peers_lossy"},
+}};
+constexpr std::pair<FaultKind, const char*> kWrongZone{FaultKind::list_wrong_zone, "list_wrong_zone"};
+
+Party node_party(std::uint32_t n) { return {Party::Kind::node, n}; }
+Party server_party(std::uint32_t n) { return {Party::Kind::server, n}; }
+constexpr Party kCounter{Party::Kind::counter, 0}, kDiscovery{Party::Kind::discovery, 0},
+    kClients{Party::Kind::clients, 0};
+
+std::string short_number(double x) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.4g", x);
+  return text;
+}
+
+std::string text_of(const Selector& s) {
+  static constexpr std::array kinds{"nodes", "servers", "counter", "discovery", "clients"};
+  const std::string kind = kinds[static_cast<std::size_t>(s.kind)];
+  switch (s.pick) {
+    case Selector::Pick::all: return kind;
+    case Selector::Pick::range: return kind + " " + std::to_string(s.first) + "-" + std::to_string(s.last);
+    case Selector::Pick::share: return short_number(100 * s.share) + "% of " + kind;
+    case Selector::Pick::zone: return kind + " in " + s.zone;
+  }
+  return kind;
+}
+
+}  // namespace
+
+const char* name_of(FaultKind kind) {
+  for (const auto& [k, name] : kFaults)
+    if (k == kind) return name;
+  return kWrongZone.second;
+}
+
+std::optional<FaultKind> fault_kind(const std::string& name) {
+  for (const auto& [k, n] : kFaults)
+    if (name == n) return k;
+  return name == kWrongZone.second ? std::optional(kWrongZone.first) : std::nullopt;
+}
+
+std::string text_of(const Fault& f) {
+  std::string text = name_of(f.kind);
+  const auto join = [](const std::vector<Selector>& all) {
+    std::string t;
+    for (const auto& s : all) t += (t.empty() ? "" : ", ") + text_of(s);
+    return t;
+  };
+  if (!f.who.empty()) text += " " + join(f.who);
+  if (!f.from.empty()) text += (f.way == "in" ? " <- " : f.way == "out" ? " -> " : " <-> ") + join(f.from);
+  if (!f.zone.empty()) text += " " + f.zone + (f.counter ? " with the counter" : "");
+  if (f.kind == FaultKind::burst || f.kind == FaultKind::counter_slow || f.kind == FaultKind::servers_slow)
+    text += " x" + short_number(f.factor);
+  if (f.empty) text += ", back empty";
+  return text;
+}
+
+World::World(const Scenario& scenario, std::uint64_t seed, Agenda& agenda, Carrier& carrier,
+             std::function<void(Time, const Seen&)> watcher)
+    : scenario_(scenario),
+      dice_(mix(seed)),
+      agenda_(agenda),
+      carrier_(carrier),
+      watcher_(std::move(watcher)),
+      plans_(plans_of(scenario)),
+      network_(scenario.network, dice_.stream("network")),
+      peer_network_(scenario.peers, scenario.fleet.nodes, dice_.stream("peers")),
+      counter_(scenario.counter, dice_.stream("counter")),
+      works_(dice_.stream("work")),
+      clients_(dice_.stream("clients")),
+      discovery_dice_(dice_.stream("discovery")),
+      nodes_(scenario.fleet.nodes) {
+  make_servers();
+  make_customers();
+}
+
+// ---- The parties ------------------------------------------------------------------------------------------
+
+std::uint32_t World::zone_of_node(std::uint32_t node) const {
+  return node % static_cast<std::uint32_t>(scenario_.fleet.zones.size());
+}
+
+std::uint32_t World::add_server(std::uint32_t zone, std::uint32_t cell) {
+  const auto& t = scenario_.servers;
+  const auto number = static_cast<std::uint32_t>(servers_.size());
+  auto dice = dice_.stream("server", number);
+  const auto slots = static_cast<std::uint32_t>(
+      std::max(1.0, std::round(dice.in(t.slots_per_core) * t.cores)));
+  const auto queue = static_cast<std::uint32_t>(std::round(dice.in(t.queue_per_core) * t.cores));
+  const double speed = dice.in(t.speed);
+  std::array<char, 16> id{};
+  std::snprintf(id.data(), id.size(), "s-%08x",
+                static_cast<unsigned>(mix(dice_.seed() + number) >> 33U) | 1U);
+  servers_.push_back(
+      {id.data(), zone, cell, PriceServer(t, speed, slots, queue), {}, 0, Time::max(), 0, 0, {}});
+  auto& s = servers_.back();
+  s.listed = {number, s.id, zone, cell, Phase::ready, std::round(speed * 10) / 10, std::nullopt};
+  return number;
+}
+
+void World::make_servers() {
+  const auto zones = static_cast<std::uint32_t>(scenario_.fleet.zones.size());
+  for (std::uint32_t i = 0; i < scenario_.servers.count; ++i) {
+    const auto zone = i % zones;
+    const auto n = add_server(zone, zone + zones * (i / zones / std::max(1U, scenario_.servers.cell_size)));
+    servers_[n].model.start(agenda_.now(), 1, Duration{});
+    see(ServerStarted{ServerId(n), zone, servers_[n].cell});
+    for (auto& node : nodes_) node.list.entries.emplace(n, servers_[n].listed);
+  }
+  revision_ = 1;
+  for (auto& node : nodes_) node.list.revision = revision_;
+}
+
+// Customers of each plan until what they ask inside their quotas is the plan's share of the load.
+void World::make_customers() {
+  const auto& t = scenario_.clients;
+  double capacity = 0, shares = 0;
+  for (const auto& s : servers_) capacity += s.model.full_capacity();
+  for (const auto& p : t.plans) shares += p.share;
+  const double wanted = t.load * capacity / (scenario_.servers.work_ms / 1e3);
+  std::uint64_t number = 0;
+  for (std::uint32_t plan = 0; plan < plans_.size(); ++plan) {
+    const auto& terms = t.plans[plan];
+    double inside = 0;
+    while (inside < wanted * terms.share / shares) {
+      Customer c{.dice = dice_.stream("customer", ++number)};
+      c.id = CustomerId(mix(dice_.seed() + number) >> 31U);
+      c.plan = plan;
+      const double kind = c.dice.part();
+      double use = c.dice.in(t.calm_use);
+      if (kind < t.full) {
+        use = kFullUse;
+      } else if (kind < t.full + t.heavy) {
+        use = c.dice.in(t.heavy_x);
+      } else if (kind < t.full + t.heavy + t.spiky) {
+        c.spike = std::max(1.0, c.dice.in(t.spike_x) / use);
+        c.spike_for = c.dice.seconds_in(t.spike_s);
+        c.spike_every = std::max(c.dice.seconds_in(t.spike_every_s), c.spike_for);
+        c.spike_phase = scaled(c.spike_every, c.dice.part());
+      }
+      c.rate = use * terms.rate;
+      inside += std::min(use, 1.0) * terms.rate;
+      const auto nodes = scenario_.fleet.nodes;
+      double spread = c.dice.in(terms.spread) * nodes;
+      const auto& p = plans_[plan];
+      if (p.ceiling_burst > 0) spread = std::min(spread, p.ceiling_burst / 2);
+      c.spread = std::clamp(static_cast<std::uint32_t>(std::round(spread)), std::min(2U, nodes), nodes);
+      c.first = static_cast<std::uint32_t>(c.dice.below(nodes));
+      c.honours = c.dice.chance(t.honour);
+      customers_.push_back(std::move(c));
+    }
+  }
+}
+
+// ---- Nodes ------------------------------------------------------------------------------------------------
+
+void World::begin(Duration patience) {
+  for (std::uint32_t n = 0; n < nodes_.size(); ++n) start(n);
+  agenda_.after(patience, [this] { begin_clients(); });
+}
+
+void World::start(std::uint32_t node) {
+  nodes_[node].life = Life::starting;
+  ++nodes_[node].lives;
+  carrier_.start_node(node);
+}
+
+void World::node_ready(std::uint32_t node) {
+  auto& n = nodes_[node];
+  if (n.life != Life::starting) return;
+  n.life = Life::up, n.front_sees = true;
+  see(NodeUp{node});
+  for (const auto& [number, e] : n.list.entries) see(ServerTold{node, ServerId(number), e.phase, true});
+  if (!clients_began() && std::ranges::all_of(nodes_, [](const Node& x) { return x.life == Life::up; }))
+    begin_clients();
+}
+
+void World::down(std::uint32_t node, bool crashed) {
+  auto& n = nodes_[node];
+  n.life = Life::down;
+  see(NodeDown{node, crashed});
+  if (!n.front_sees) return;
+  agenda_.after(clients_.seconds_in(scenario_.clients.notice_s), [this, node, life = n.lives] {
+    if (nodes_[node].lives == life) nodes_[node].front_sees = false;
+  });
+}
+
+void World::node_ended(std::uint32_t node) {
+  auto& n = nodes_[node];
+  if (n.life == Life::down) return;
+  const bool planned = n.life == Life::ending;
+  down(node, !planned);
+  if (planned && n.comes_back) start(node);
+}
+
+void World::planned_end(std::uint32_t node) {
+  auto& n = nodes_[node];
+  if (n.life != Life::up) return;
+  n.life = Life::ending, n.comes_back = true;
+  const auto life = n.lives;
+  agenda_.after(kFrontStops + scaled(kFrontStopsMore, clients_.part()), [this, node, life] {
+    if (nodes_[node].lives == life) nodes_[node].front_sees = false;
+  });
+  agenda_.after(from_seconds(scenario_.fleet.term_s), [this, node, life] {
+    if (nodes_[node].lives != life || nodes_[node].life != Life::ending) return;
+    carrier_.kill_node(node);
+    node_ended(node);
+  });
+  carrier_.term_node(node);
+}
+
+// ---- Clients and their front ------------------------------------------------------------------------------
+
+void World::begin_clients() {
+  if (clients_began()) return;
+  began_at_ = agenda_.now();
+  quiet_from_ = began_at_ + from_seconds(scenario_.fleet.seconds);
+  counter_.set(began_at_, Counter::Mode::serving);
+  for (std::size_t i = 0; i < customers_.size(); ++i) next_arrival(i);
+  for (std::size_t i = 0; i < scenario_.faults.size(); ++i) schedule(scenario_.faults[i], i);
+}
+
+bool World::over() const {
+  if (!clients_began() || agenda_.now() < quiet_from_) return false;
+  return std::ranges::all_of(tries_, [](const auto& t) { return t.second.ended; });
+}
+
+Time World::ends_at() const {
+  return quiet_from_ +
+         from_seconds((scenario_.clients.deadline_ms + scenario_.clients.patience_ms) / 1e3 + 0.1);
+}
+
+double World::rate_now(const Customer& c, Time at) const {
+  double rate = c.rate * burst_;
+  if (c.spike > 1 && (at - began_at_ + c.spike_phase) % c.spike_every < c.spike_for) rate *= c.spike;
+  return rate;
+}
+
+// Arrivals of a rate that changes, by thinning: drawn at the highest it can have, and kept in proportion.
+void World::next_arrival(std::size_t customer) {
+  auto& c = customers_[customer];
+  double most = std::max(c.spike, 1.0) * c.rate;
+  double factor = 1;
+  for (const auto& f : scenario_.faults)
+    if (f.kind == FaultKind::burst) factor = std::max(factor, f.factor);
+  most *= factor;
+  const Time when = agenda_.now() + from_seconds(c.dice.exponential(1 / most));
+  const double keep = c.dice.part();
+  if (when >= quiet_from_) return;
+  agenda_.at(when, [this, customer, keep, most] {
+    auto& asks = customers_[customer];
+    if (keep * most < rate_now(asks, agenda_.now())) ask(asks, nullptr);
+    next_arrival(customer);
+  });
+}
+
+std::optional<std::uint32_t> World::pick_node(Customer& c) {
+  const auto nodes = scenario_.fleet.nodes;
+  const auto period = (agenda_.now() - began_at_) / from_seconds(std::max(scenario_.clients.shift_s, 0.1));
+  if (c.shift != period) {
+    c.shift = period;
+    auto dice = dice_.stream("weights",
+                             mix(static_cast<std::uint64_t>(c.id)) + static_cast<std::uint64_t>(period));
+    c.weights.resize(c.spread);
+    for (auto& w : c.weights) w = dice.lognormal(1, scenario_.clients.skew);
+  }
+  double all = 0;
+  for (std::uint32_t i = 0; i < c.spread; ++i)
+    if (nodes_[(c.first + i) % nodes].front_sees) all += c.weights[i];
+  if (all <= 0) return std::nullopt;
+  double at = clients_.part() * all;
+  std::optional<std::uint32_t> last;
+  for (std::uint32_t i = 0; i < c.spread; ++i) {
+    const auto n = (c.first + i) % nodes;
+    if (!nodes_[n].front_sees) continue;
+    last = n;
+    if ((at -= c.weights[i]) < 0) break;
+  }
+  return last;
+}
+
+void World::ask(Customer& c, const Try* before) {
+  const auto& terms = scenario_.clients;
+  const Time now = agenda_.now();
+  Try t;
+  t.id = TryId(mix(dice_.seed() ^ mix(++last_try_)));
+  t.customer = c.id, t.plan = c.plan, t.first = c.first, t.spread = c.spread, t.sent = now;
+  if (before != nullptr) {
+    t.root = before->root, t.number = before->number + 1, t.asked = before->asked, t.last = before->last;
+  } else {
+    t.root = t.id, t.asked = now, t.last = now + from_seconds(terms.deadline_ms / 1e3);
+  }
+  t.deadline = t.number < terms.retries ? now + scaled(t.last - now, terms.try_share) : t.last;
+  const auto node = pick_node(c);
+  t.node = node.value_or(c.first);
+  tries_.emplace(t.id, OpenTry{t});
+  see(TrySent{t.id, t.node, t.customer, t.plan, t.units, t.spread, t.deadline, t.root, t.asked});
+  agenda_.at(t.deadline, [this, id = t.id] { time_up(id); });
+  if (!node || !network_.passes(kClients, node_party(t.node))) {
+    if (!node || network_.resets(kClients, node_party(t.node)))
+      agenda_.after(2 * client_way(), [this, id = t.id] { unreachable(id); });
+    return;
+  }
+  carrier_.submit(t);
+}
+
+const Try* World::find(TryId id) const {
+  const auto it = tries_.find(id);
+  return it == tries_.end() ? nullptr : &it->second.t;
+}
+
+// The client's wait for this try is over: it may try again, but looks on for an answer for its patience.
+void World::time_up(TryId id) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end()) return;
+  if (!it->second.ended) retry(it->second, {});
+  agenda_.after(from_seconds(scenario_.clients.patience_ms / 1e3), [this, id] {
+    const auto open = tries_.find(id);
+    if (open == tries_.end()) return;
+    if (!open->second.ended) {
+      see(TryLeft{id});
+      carrier_.leave(id);
+    }
+    tries_.erase(open);
+  });
+}
+
+void World::retry(OpenTry& o, Duration advice) {
+  const auto& terms = scenario_.clients;
+  if (std::exchange(o.retried, true) || o.t.number >= terms.retries) return;
+  const auto customer = std::ranges::find(customers_, o.t.customer, &Customer::id);
+  double ms = std::min(terms.backoff_ms.least * std::exp2(o.t.number), terms.backoff_ms.most);
+  ms *= clients_.between(1 - kBackoffSpread, 1 + kBackoffSpread);
+  if (customer->honours && advice > Duration{})
+    ms = std::max(ms, std::min(seconds(advice) * 1e3, terms.most_retry_after_ms));
+  const Time when = agenda_.now() + from_seconds(ms / 1e3);
+  if (when >= o.t.last) return;
+  agenda_.at(when, [this, before = o.t, at = customer - customers_.begin()] {
+    ask(customers_[static_cast<std::size_t>(at)], &before);
+  });
+}
+
+void World::taken(TryId id) { see(TryTaken{id}); }
+
+void World::answered(TryId id, Verdict verdict, Duration retry_after, bool genuine) {
+  see(TryAnswered{id, verdict, genuine});
+  const auto it = tries_.find(id);
+  if (it == tries_.end() || std::exchange(it->second.ended, true)) return;
+  if (verdict != Verdict::served) retry(it->second, retry_after);
+}
+
+void World::broken(TryId id, bool first_on_connection) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end() || std::exchange(it->second.ended, true)) return;
+  see(TryBroken{id, first_on_connection});
+  retry(it->second, {});
+}
+
+void World::unreachable(TryId id) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end() || std::exchange(it->second.ended, true)) return;
+  see(TryUnreachable{id});
+  retry(it->second, {});
+}
+
+// ---- Price servers ------------------------------------------------------------------------------------------
+
+Duration World::way(std::uint32_t node, std::uint32_t server) {
+  return network_.way(zone_of_node(node), servers_.at(server).zone);
+}
+
+Duration World::handshake(std::uint32_t node, std::uint32_t server) {
+  return scaled(2 * way(node, server), scenario_.servers.handshake_trips) +
+         from_seconds(scenario_.servers.handshake_ms / 1e3);
+}
+
+Connect World::would_connect(std::uint32_t node, std::uint32_t server) const {
+  const auto& s = servers_.at(server);
+  if (!network_.talk(node_party(node), server_party(server)))
+    return network_.resets(node_party(node), server_party(server)) ? Connect::refused : Connect::silent;
+  if (s.model.phase() == PriceServer::Phase::vanished) return Connect::silent;
+  return s.model.reachable() && s.connections < s.model.most_connections() ? Connect::up : Connect::refused;
+}
+
+Connect World::connect(std::uint32_t node, std::uint32_t server) {
+  auto& s = servers_.at(server);
+  const auto met = would_connect(node, server);
+  see(Handshake{node, ServerId(server), met == Connect::up});
+  if (met == Connect::up) s.model.set_connections(++s.connections);
+  return met;
+}
+
+void World::closed(std::uint32_t, std::uint32_t server) {
+  auto& s = servers_.at(server);
+  if (s.connections > 0) s.model.set_connections(--s.connections);
+}
+
+AttemptNumber World::attempt(std::uint32_t node, std::uint32_t server, TryId id, Time first_byte) {
+  auto& s = servers_.at(server);
+  const Time now = agenda_.now();
+  if (!network_.passes(node_party(node), server_party(server)) || !s.model.reachable())
+    return AttemptNumber::none;
+  run_server(server);
+  const auto number = AttemptNumber(++last_attempt_);
+  see(AttemptArrived{id, node, ServerId(server), first_byte, last_attempt_});
+  const auto* t = find(id);
+  const auto root = static_cast<std::uint64_t>(t != nullptr ? t->root : id);
+  const auto& terms = scenario_.servers;
+  auto dice = works_.stream("request", root);
+  const double work = dice.lognormal(terms.work_ms / 1e3, terms.work_cv) *
+                      works_.stream("attempt", root + last_attempt_).lognormal(1, terms.attempt_noise);
+  attempts_.emplace(number, Attempt{node, server, id, JobId(last_attempt_)});
+  const auto entry = nodes_[node].list.entries.find(server);
+  const bool told = entry != nodes_[node].list.entries.end() && entry->second.started == s.started;
+  if (s.model.push(now, work, told)) {
+    see(ServerFell{ServerId(server), s.model.told_share()});
+    lose_server(server, PriceServer::Phase::fallen);
+    list(server, Phase::gone, discovery_dice_.seconds_in(scenario_.discovery.notice_s));
+    return AttemptNumber::none;
+  }
+  if (auto failing = works_.stream("error", last_attempt_);
+      failing.chance(std::max(s.errors, terms.error_rate))) {
+    agenda_.after(kQuickError, [this, number] { finish(number, ServerAnswer::error); });
+  } else if (!s.model.arrive(now, JobId(last_attempt_), work, t != nullptr ? t->deadline : Time::max())) {
+    agenda_.after(kTurnAway, [this, number] { finish(number, ServerAnswer::full); });
+  }
+  wake(server);
+  return number;
+}
+
+// The server works on: it does not see that nobody waits any more (`cancel` of the site is "none").
+void World::attempt_left(AttemptNumber number) {
+  const auto it = attempts_.find(number);
+  if (it == attempts_.end()) return;
+  see(AttemptOver{it->second.id, static_cast<std::uint64_t>(number), false});
+  attempts_.erase(it);
+}
+
+void World::finish(AttemptNumber number, ServerAnswer answer) {
+  const auto it = attempts_.find(number);
+  if (it == attempts_.end()) return;
+  const auto a = it->second;
+  if (answer == ServerAnswer::ok && spoilt_ > 0 &&
+      works_.stream("spoilt", static_cast<std::uint64_t>(number)).chance(spoilt_))
+    answer = ServerAnswer::spoilt;
+  attempts_.erase(it);
+  see(AttemptOver{a.id, static_cast<std::uint64_t>(number), answer == ServerAnswer::full});
+  if (network_.passes(server_party(a.server), node_party(a.node))) carrier_.answer(number, answer);
+}
+
+void World::wake(std::uint32_t server) {
+  auto& s = servers_[server];
+  const auto next = s.model.next();
+  if (!next || *next >= s.wakes_at) return;
+  s.wakes_at = *next;
+  agenda_.at(*next, [this, server, life = s.life, when = *next] {
+    auto& awake = servers_[server];
+    if (awake.life != life || awake.wakes_at != when) return;
+    run_server(server);
+    wake(server);
+  });
+}
+
+void World::run_server(std::uint32_t server) {
+  auto& s = servers_[server];
+  if (s.wakes_at <= agenda_.now()) s.wakes_at = Time::max();
+  for (const auto& done : s.model.advance(agenda_.now()))
+    finish(AttemptNumber(static_cast<std::uint64_t>(done.job)),
+           done.served ? ServerAnswer::ok : ServerAnswer::full);
+}
+
+void World::start_server(std::uint32_t server, bool cold) {
+  auto& s = servers_[server];
+  ++s.life;
+  s.wakes_at = Time::max(), s.connections = 0, s.errors = 0;
+  auto dice = dice_.stream("start", mix(server) + s.life);
+  const double share = cold ? dice.in(scenario_.servers.cold_from) : 1;
+  s.started = agenda_.now();
+  s.model.start(s.started, share, cold ? dice.seconds_in(scenario_.servers.cold_s) : Duration{});
+  s.listed.started = s.started;
+  see(ServerStarted{ServerId(server), s.zone, s.cell});
+  carrier_.reset_connections(server);
+  carrier_.network_changed();
+}
+
+void World::lose_server(std::uint32_t server, PriceServer::Phase as) {
+  auto& s = servers_[server];
+  run_server(server);
+  ++s.life;
+  s.wakes_at = Time::max();
+  s.model.stop(as);
+  if (as != PriceServer::Phase::vanished) {
+    std::vector<AttemptNumber> lost;
+    for (const auto& [number, a] : attempts_)
+      if (a.server == server) lost.push_back(number);
+    std::ranges::sort(lost);
+    for (const auto n : lost) attempt_left(n);
+    s.connections = 0;
+    carrier_.reset_connections(server);
+  }
+  carrier_.network_changed();
+}
+
+// ---- Discovery ------------------------------------------------------------------------------------------------
+
+// What has become of a server is known to discovery after `noticed`, and written to each node's agent a while later.
+void World::list(std::uint32_t server, Phase phase, Duration noticed,
+                 std::optional<std::uint32_t> wrong_zone) {
+  agenda_.after(noticed, [this, server, phase, life = servers_[server].life, wrong_zone] {
+    auto& s = servers_[server];
+    if (phase == Phase::gone && s.life != life && s.model.reachable()) return;  // it is back
+    s.listed.phase = phase, s.listed.zone = wrong_zone.value_or(s.zone);
+    const auto revision = ++revision_;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+      const Time when = std::max(nodes_[n].told_at,
+                                 agenda_.now() + list_late_ +
+                                     scaled(discovery_dice_.seconds_in(scenario_.discovery.spread_ms), 1e-3));
+      nodes_[n].told_at = when;
+      agenda_.at(when, [this, n, e = s.listed, revision] {
+        nodes_[n].list.revision = revision;
+        tell(n, {e});
+      });
+      if (list_late_ > Duration{} || phase != Phase::ready)
+        agenda_.after(from_seconds(scenario_.discovery.told_s), [this, n, server, phase] {
+          const auto it = nodes_[n].list.entries.find(server);
+          const bool knows = it == nodes_[n].list.entries.end() || it->second.phase == phase;
+          if (!knows && nodes_[n].life != Life::down) see(ServerTold{n, ServerId(server), phase, false});
+        });
+    }
+  });
+}
+
+bool World::talks_with_discovery(std::uint32_t node) const {
+  return network_.talk(node_party(node), kDiscovery);
+}
+
+void World::tell(std::uint32_t node, std::vector<Entry> changes) {
+  auto& n = nodes_[node];
+  if (!talks_with_discovery(node)) {
+    n.held_back.insert(n.held_back.end(), changes.begin(), changes.end());
+    return;
+  }
+  write_list(node, std::move(changes));
+}
+
+void World::write_list(std::uint32_t node, std::vector<Entry> changes) {
+  auto& n = nodes_[node];
+  for (const auto& e : changes) {
+    if (e.phase == Phase::gone)
+      n.list.entries.erase(e.server);
+    else
+      n.list.entries.insert_or_assign(e.server, e);
+    if (n.life != Life::down) see(ServerTold{node, ServerId(e.server), e.phase, false});
+  }
+  carrier_.list_changed(node, changes, n.list.revision);
+}
+
+// ---- Counter and peers ----------------------------------------------------------------------------------------
+
+Duration World::counter_way(std::uint32_t node) {
+  const auto& zones = scenario_.fleet.zones;
+  const auto at = std::ranges::find(zones, scenario_.counter.zone) - zones.begin();
+  return network_.way(zone_of_node(node), static_cast<std::uint32_t>(at));
+}
+
+Connect World::counter_would_connect(std::uint32_t node) const {
+  if (!network_.talk(node_party(node), kCounter))
+    return network_.resets(node_party(node), kCounter) ? Connect::refused : Connect::silent;
+  if (counter_.mode() == Counter::Mode::silent) return Connect::silent;
+  return counter_.mode() == Counter::Mode::refusing ? Connect::refused : Connect::up;
+}
+
+void World::call(std::uint32_t node, const Counter::Call& call,
+                 std::function<void(const Counter::Answer&)> told) {
+  if (!network_.passes(node_party(node), kCounter)) {
+    see(CounterCalled{node, false, {}});
+    return;
+  }
+  agenda_.after(counter_way(node), [this, node, call, told = std::move(told)] {
+    const auto answer = counter_.call(agenda_.now(), call);
+    const bool comes = answer.kind != Counter::Answer::Kind::none;
+    // One that is late counts as mute: its caller no longer waits.
+    const bool in_time = answer.at - agenda_.now() < from_seconds(scenario_.counter.timeout_ms / 1e3);
+    see(CounterCalled{node, comes && in_time && answer.kind != Counter::Answer::Kind::refused,
+                      answer.at - agenda_.now()});
+    if (!comes) return;
+    agenda_.at(answer.at + counter_way(node), [this, node, answer, told] {
+      if (counter_.mode() == Counter::Mode::silent || !network_.passes(kCounter, node_party(node))) return;
+      told(answer);
+    });
+  });
+}
+
+void World::datagram(std::uint32_t from, std::uint32_t to, std::string payload) {
+  const auto bytes = static_cast<std::uint32_t>(payload.size());
+  const bool passes = to < nodes_.size() && !peer_network_.too_long(bytes) &&
+                      network_.passes(node_party(from), node_party(to));
+  const auto arrivals = passes ? peer_network_.send(agenda_.now()) : std::vector<Time>{};
+  if (arrivals.empty()) see(Datagram{from, to, bytes, false});
+  for (const Time when : arrivals)
+    agenda_.at(when, [this, from, to, bytes, payload] {
+      const bool taken = nodes_[to].life != Life::down && peer_network_.take(agenda_.now(), to);
+      see(Datagram{from, to, bytes, taken});
+      if (taken) carrier_.datagram(from, to, payload);
+    });
+}
+
+// ---- What goes wrong ------------------------------------------------------------------------------------------
+
+std::vector<std::uint32_t> World::pick(const Selector& s, std::size_t of, std::uint64_t number) const {
+  std::vector<std::uint32_t> all(of);
+  std::iota(all.begin(), all.end(), 0U);
+  const auto zone_of = [&](std::uint32_t n) {
+    return s.kind == Selector::Kind::nodes ? zone_of_node(n) : servers_[n].zone;
+  };
+  switch (s.pick) {
+    case Selector::Pick::all: break;
+    case Selector::Pick::range: std::erase_if(all, [&](auto n) { return n < s.first || n > s.last; }); break;
+    case Selector::Pick::zone:
+      std::erase_if(all, [&](auto n) { return scenario_.fleet.zones[zone_of(n)] != s.zone; });
+      break;
+    case Selector::Pick::share: {
+      auto dice = dice_.stream("fault", number);
+      dice.shuffle(all);
+      all.resize(static_cast<std::size_t>(std::round(s.share * static_cast<double>(of))));
+      std::ranges::sort(all);
+    }
+  }
+  return all;
+}
+
+std::set<Party> World::parties(const std::vector<Selector>& selectors, std::uint64_t number) const {
+  std::set<Party> found;
+  for (const auto& s : selectors) switch (s.kind) {
+      case Selector::Kind::nodes:
+        for (const auto n : pick(s, nodes_.size(), number)) found.insert(node_party(n));
+        break;
+      case Selector::Kind::servers:
+        for (const auto n : pick(s, servers_.size(), number)) found.insert(server_party(n));
+        break;
+      case Selector::Kind::counter: found.insert(kCounter); break;
+      case Selector::Kind::discovery: found.insert(kDiscovery); break;
+      case Selector::Kind::clients: found.insert(kClients); break;
+    }
+  return found;
+}
+
+std::vector<std::uint32_t> World::chosen(const Fault& f, Selector::Kind kind, std::uint64_t number) const {
+  std::vector<std::uint32_t> found;
+  for (const auto& s : f.who)
+    if (s.kind == kind)
+      for (const auto n : pick(s, kind == Selector::Kind::nodes ? nodes_.size() : servers_.size(), number))
+        found.push_back(n);
+  return found;
+}
+
+void World::schedule(const Fault& f, std::uint64_t number) {
+  agenda_.at(began_at_ + from_seconds(f.at), [this, f, number] { strike(f, number); });
+}
+
+void World::replace(const std::vector<std::uint32_t>& servers, Duration over) {
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const auto wait = scaled(over, static_cast<double>(i) / static_cast<double>(servers.size()));
+    agenda_.after(wait, [this, server = servers[i]] {
+      if (servers_[server].model.phase() != PriceServer::Phase::serving) return;
+      const auto& t = scenario_.discovery;
+      servers_[server].model.drain();
+      list(server, Phase::draining, discovery_dice_.seconds_in(t.notice_s));
+      const auto fresh = add_server(servers_[server].zone, servers_[server].cell);
+      carrier_.server_added(fresh);
+      start_server(fresh, true);
+      list(fresh, Phase::ready, discovery_dice_.seconds_in(t.add_s));
+      agenda_.after(from_seconds(scenario_.servers.drain_s), [this, server] {
+        lose_server(server, PriceServer::Phase::gone);
+        list(server, Phase::gone, discovery_dice_.seconds_in(scenario_.discovery.notice_s));
+      });
+    });
+  }
+}
+
+void World::strike(const Fault& f, std::uint64_t number) {
+  const auto text = text_of(f);
+  const auto lasts = from_seconds(f.lasts);
+  std::function<void()> undo;
+  const auto nodes = chosen(f, Selector::Kind::nodes, number);
+  const auto servers = chosen(f, Selector::Kind::servers, number);
+  const auto spread = [&](std::size_t i) {
+    return scaled(lasts,
+                  static_cast<double>(i) / static_cast<double>(std::max<std::size_t>(nodes.size(), 1)));
+  };
+  const auto vanish = [&](const std::vector<std::uint32_t>& which) {
+    for (const auto s : which) {
+      lose_server(s, PriceServer::Phase::vanished);
+      list(s, Phase::gone, discovery_dice_.seconds_in(scenario_.discovery.silent_notice_s));
+    }
+    return [this, which] {
+      for (const auto s : which) {
+        start_server(s, true);
+        list(s, Phase::ready, discovery_dice_.seconds_in(scenario_.discovery.add_s));
+      }
+    };
+  };
+  const auto silence = [&](Counter::Mode mode) {
+    counter_.set(agenda_.now(), mode);
+    carrier_.network_changed();
+    return [this, empty = f.empty] {
+      if (empty) counter_.lose_numbers(agenda_.now()), see(CounterLost{});
+      counter_.set(agenda_.now(), Counter::Mode::serving);
+      carrier_.network_changed();
+    };
+  };
+  see(FaultBegan{text});
+  switch (f.kind) {
+    case FaultKind::kill:
+      for (const auto n : nodes) {
+        if (nodes_[n].life == Life::down) continue;
+        carrier_.kill_node(n);
+        down(n, false);
+      }
+      if (f.lasts > 0)
+        undo = [this, nodes] {
+          for (const auto n : nodes)
+            if (nodes_[n].life == Life::down) start(n);
+        };
+      break;
+    case FaultKind::restart:
+      for (std::size_t i = 0; i < nodes.size(); ++i)
+        agenda_.after(spread(i), [this, n = nodes[i]] { planned_end(n); });
+      break;
+    case FaultKind::stall:
+      for (const auto n : nodes) carrier_.stall_node(n, true);
+      undo = [this, nodes] {
+        for (const auto n : nodes) carrier_.stall_node(n, false);
+      };
+      break;
+    case FaultKind::reload:
+      for (const auto n : nodes) carrier_.reload_node(n, f);
+      break;
+    case FaultKind::upgrade:
+      for (std::size_t i = 0; i < nodes.size(); ++i)
+        agenda_.after(spread(i), [this, n = nodes[i]] { carrier_.upgrade_node(n); });
+      break;
+    case FaultKind::cut: {
+      const auto cut = network_.cut({parties(f.who, number), parties(f.from, number), f.way != "in",
+                                     f.way != "out", f.connects == "reset"});
+      carrier_.network_changed();
+      undo = [this, cut] {
+        network_.heal(cut);
+        carrier_.network_changed();
+        for (std::uint32_t n = 0; n < nodes_.size(); ++n)
+          if (!nodes_[n].held_back.empty() && talks_with_discovery(n))
+            write_list(n, std::exchange(nodes_[n].held_back, {}));
+      };
+      break;
+    }
+    case FaultKind::counter_slow:
+      counter_.slow(f.factor);
+      undo = [this] { counter_.slow(1); };
+      break;
+    case FaultKind::counter_silent: undo = silence(Counter::Mode::silent); break;
+    case FaultKind::counter_refusing: undo = silence(Counter::Mode::refusing); break;
+    case FaultKind::counter_empty:
+      counter_.lose_numbers(agenda_.now());
+      see(CounterLost{});
+      break;
+    case FaultKind::counter_spoilt:
+      counter_.spoil(f.share);
+      undo = [this] { counter_.spoil(0); };
+      break;
+    case FaultKind::zone_lost: {
+      Selector in_zone{Selector::Kind::servers, Selector::Pick::zone, 0, 0, 0, f.zone};
+      auto back = vanish(pick(in_zone, servers_.size(), number));
+      std::function<void()> counter_back;
+      if (f.counter) counter_back = silence(Counter::Mode::silent);
+      undo = [back, counter_back] {
+        back();
+        if (counter_back) counter_back();
+      };
+      break;
+    }
+    case FaultKind::servers_gone: undo = vanish(servers); break;
+    case FaultKind::servers_bad:
+      for (const auto s : servers) servers_[s].errors = f.share;
+      undo = [this, servers] {
+        for (const auto s : servers) servers_[s].errors = 0;
+      };
+      break;
+    case FaultKind::servers_slow:
+      for (const auto s : servers) run_server(s), servers_[s].model.slow(f.factor), wake(s);
+      undo = [this, servers] {
+        for (const auto s : servers) run_server(s), servers_[s].model.slow(1), wake(s);
+      };
+      break;
+    case FaultKind::servers_replaced: replace(servers, lasts); break;
+    case FaultKind::answers_spoilt:
+      spoilt_ = f.share;
+      undo = [this] { spoilt_ = 0; };
+      break;
+    case FaultKind::burst:
+      burst_ = f.factor;
+      undo = [this] { burst_ = 1; };
+      break;
+    case FaultKind::list_late:
+      list_late_ = from_seconds(f.delay);
+      undo = [this] { list_late_ = {}; };
+      break;
+    case FaultKind::list_wrong_zone: {
+      const auto zones = static_cast<std::uint32_t>(scenario_.fleet.zones.size());
+      for (const auto s : servers) list(s, Phase::ready, {}, (servers_[s].zone + 1) % zones);
+      undo = [this, servers] {
+        for (const auto s : servers)
+          if (servers_[s].model.phase() == PriceServer::Phase::serving) list(s, Phase::ready, {});
+      };
+      break;
+    }
+    case FaultKind::peers_lossy:
+      peer_network_.lose(f.share);
+      undo = [this] { peer_network_.lose(0); };
+      break;
+  }
+  if (f.lasts <= 0) return;
+  agenda_.after(lasts, [this, undo, text] {
+    if (undo) undo();
+    see(FaultEnded{text});
+  });
+}
+
+}  // namespace petrelrail::world
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,359 @@
+// The lab's tool and its scenarios.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "experiment.hpp"
+#include "scenario_file.hpp"
+
+namespace petrelrail::lab::test {
+namespace {
+
+std::string message(const std::string& text, const std::vector<std::string>& sets = {}) {
+  try {
+    parse_scenario(text, "s.toml", sets);
+    return "";
+  } catch (const ScenarioError& x) {
+    return x.what();
+  }
+}
+
+// ---- Reading a scenario: what is wrong is named by file, line and key --------------------------------------------------
+
+TEST(ScenarioFile, AnEmptyOneHasTheUsualTerms) {
+  const auto s = parse_scenario("", "here/quiet.toml");
+  EXPECT_EQ(s.name, "quiet");
+  EXPECT_EQ(s.clients.plans.size(), 3U);
+}
+TEST(ScenarioFile, UnknownKeysWrongTypesAndBoundsAreNamed) {
+  EXPECT_EQ(message("[fleet]\nnods = 3"), "s.toml:2: fleet.nods: there is no such key here");
+  EXPECT_EQ(message("[fleat]\nnodes = 3"), "s.toml:1: fleat: there is no such key here");
+  EXPECT_EQ(message("[fleet]\n\nnodes = \"many\""), "s.toml:3: fleet.nodes: a number is wanted");
+  EXPECT_EQ(message("[fleet]\nnodes = 2.5"), "s.toml:2: fleet.nodes: a whole number is wanted");
+  EXPECT_EQ(message("[fleet]\nnodes = 0"), "s.toml:2: fleet.nodes: it is from 1 to 2000");
+  EXPECT_EQ(message("[servers]\nspeed = [2, 1]"), "s.toml:2: servers.speed: the first is above the second");
+  EXPECT_EQ(message("[servers]\ndrops_expired = 1"),
+            "s.toml:2: servers.drops_expired: true or false is wanted");
+  EXPECT_EQ(message("[clients]\neffect = \"none\""),
+            "s.toml:2: clients.effect: one of \"safe\", \"keyed\", \"unsafe\" is wanted");
+  EXPECT_EQ(message("[clients]\naim_ms = 9000"), "s.toml:2: clients.aim_ms: it is above deadline_ms");
+  EXPECT_EQ(message("fleet = 3"), "s.toml:1: fleet: a table is wanted");
+  EXPECT_NE(message("[fleet\n").find("s.toml:1: "), std::string::npos);
+}
+TEST(ScenarioFile, FaultsOnPartiesThatDoNotExistAreNamed) {
+  const std::string kill = "[[fault]]\nkind = \"kill\"\nat = 1\n";
+  EXPECT_EQ(message(kill + "who = \"nodes 0-3\""), "");
+  EXPECT_EQ(message(kill + "who = \"nodes 0-8\""),
+            "s.toml:4: fault[0].who: \"nodes 0-8\": there are only 8 nodes, from 0 on");
+  EXPECT_EQ(message(kill + "who = \"nodes in z\""),
+            "s.toml:4: fault[0].who: \"nodes in z\": there is no zone of that name");
+  EXPECT_EQ(message(kill + "who = \"120% of nodes\""),
+            "s.toml:4: fault[0].who: \"120% of nodes\": it is at most 100%");
+  EXPECT_EQ(message(kill + "who = \"servers\""), "s.toml:4: fault[0].who: the fault kill hits nodes");
+  EXPECT_EQ(message(kill), "s.toml:1: fault[0].who: it is missing");
+  EXPECT_EQ(message(kill + "who = \"nodes\"\nfactor = 2"),
+            "s.toml:5: fault[0].factor: the fault kill has none");
+  EXPECT_EQ(message("[[fault]]\nkind = \"flood\"\nat = 1"),
+            "s.toml:2: fault[0].kind: there is no fault \"flood\"");
+  EXPECT_EQ(message("[[fault]]\nkind = \"zone_lost\"\nat = 1\nfor = 2\nzone = \"z\""),
+            "s.toml:5: fault[0].zone: there is no zone of that name");
+  EXPECT_EQ(message("[[fault]]\nkind = \"stall\"\nat = 1\nwho = \"nodes\""),
+            "s.toml:1: fault[0].for: it is missing");
+  EXPECT_EQ(message("[[fault]]\nkind = \"stall\"\nat = 99\nfor = 1\nwho = \"nodes\""),
+            "s.toml:3: fault[0].at: it is from 0 to 20");
+}
+TEST(ScenarioFile, ExpectationsNameAFigureAndABound) {
+  EXPECT_EQ(message("[[expect]]\nfigure = \"served_share\"\nat_least = 0.5"), "");
+  EXPECT_EQ(message("[[expect]]\nfigure = \"luck\"\nat_least = 1"),
+            "s.toml:2: expect[0].figure: there is no figure \"luck\"");
+  EXPECT_EQ(message("[[expect]]\nfigure = \"lost\""),
+            "s.toml:1: expect[0].at_most: a bound is missing: at_most or at_least");
+}
+TEST(ScenarioFile, SettingsOnTheCommandLineAreLaidOverTheFile) {
+  const auto s = parse_scenario("[[fault]]\nkind = \"kill\"\nat = 1\nwho = \"nodes 0\"", "s.toml",
+                                {"fleet.nodes=3", "fault.0.at=7", "counter.zone=b", "servers.speed=[1, 2]"});
+  EXPECT_EQ(s.fleet.nodes, 3U);
+  EXPECT_EQ(s.faults.at(0).at, 7);
+  EXPECT_EQ(s.counter.zone, "b");
+  EXPECT_EQ(s.servers.speed.most, 2);
+  EXPECT_NE(message("", {"nodes"}).find("KEY=VALUE"), std::string::npos);
+  EXPECT_NE(message("", {"fault.0.at=7"}).find("fault"), std::string::npos);
+  EXPECT_NE(message("", {"fleet.nods=7"}).find("fleet.nods: there is no such key here"), std::string::npos);
+}
+
+// ---- Scenarios on the model ---------------------------------------------------------------------------------------
+
+Options model(const std::string& scenario, std::uint64_t seed = 1,
+              const std::vector<std::string>& sets = {}) {
+  Options o;
+  o.scenario = read_scenario(std::string(SCENARIOS) + "/" + scenario + ".toml", sets);
+  o.seed = seed;
+  return o;
+}
+
+class Scenarios : public ::testing::TestWithParam<std::string> {};
+
+std::vector<std::string> all_scenarios() {
+  std::vector<std::string> names;
+  for (const auto& e : std::filesystem::directory_iterator(SCENARIOS))
+    if (e.path().extension() == ".toml") names.push_back(e.path().stem().string());
+  std::ranges::sort(names);
+  return names;
+}
+
+TEST_P(Scenarios, RulesAndExpectationsHoldOnTheModel) {
+  const auto played = play(model(GetParam()));
+  EXPECT_EQ(played.status(), 0);
+  for (const auto& text : played.breaches) ADD_FAILURE() << text;
+  for (const auto& text : played.failures) ADD_FAILURE() << text;
+}
+INSTANTIATE_TEST_SUITE_P(Lab, Scenarios, ::testing::ValuesIn(all_scenarios()), [](const auto& scenario) {
+  auto name = scenario.param;
+  std::ranges::replace(name, '-', '_');
+  return name;
+});
+
+TEST(Model, TheSameSeedGivesTheSameBytesAndAnotherDoesNot) {
+  const std::vector<std::string> sets{"fleet.nodes=5", "servers.count=6"};
+  const auto once = play(model("counter-silent", 3, sets)).figures.dump();
+  EXPECT_EQ(play(model("counter-silent", 3, sets)).figures.dump(), once);
+  EXPECT_NE(play(model("counter-silent", 4, sets)).figures.dump(), once);
+}
+TEST(Model, EveryKindOfFaultIsPlayedAndNoRuleIsBroken) {
+  const std::string faults = R"(
+[fleet]
+nodes = 6
+seconds = 14
+[counter]
+zone = "b"
+[peers]
+loss = 0
+[[fault]]
+kind = "reload"
+at = 0.5
+who = "nodes 0-1"
+max_attempts = 2
+move = true
+[[fault]]
+kind = "upgrade"
+at = 1
+for = 1
+who = "nodes 2-3"
+[[fault]]
+kind = "stall"
+at = 1.5
+for = 0.4
+who = "nodes 4"
+[[fault]]
+kind = "cut"
+at = 2
+for = 1
+who = "nodes 5"
+from = ["counter", "servers in a"]
+way = "out"
+[[fault]]
+kind = "cut"
+at = 2
+for = 1
+who = "nodes 0"
+from = ["discovery", "clients"]
+connects = "reset"
+[[fault]]
+kind = "counter_slow"
+at = 3
+for = 1
+factor = 4
+[[fault]]
+kind = "counter_spoilt"
+at = 4
+for = 1
+share = 0.2
+[[fault]]
+kind = "counter_refusing"
+at = 5
+for = 1
+empty = true
+[[fault]]
+kind = "counter_empty"
+at = 6.5
+[[fault]]
+kind = "zone_lost"
+at = 7
+for = 1
+zone = "b"
+counter = true
+[[fault]]
+kind = "servers_bad"
+at = 7
+for = 2
+who = "servers 0"
+share = 0.8
+[[fault]]
+kind = "servers_slow"
+at = 7
+for = 2
+who = "servers 3"
+factor = 3
+[[fault]]
+kind = "servers_gone"
+at = 8
+for = 2
+who = "servers 2"
+[[fault]]
+kind = "servers_replaced"
+at = 8
+for = 3
+who = "50% of servers"
+[[fault]]
+kind = "answers_spoilt"
+at = 9
+for = 1
+share = 0.05
+[[fault]]
+kind = "burst"
+at = 9
+for = 1
+factor = 1.5
+[[fault]]
+kind = "list_late"
+at = 8
+for = 4
+delay = 1
+[[fault]]
+kind = "list_wrong_zone"
+at = 10
+for = 2
+who = "servers in c"
+[[fault]]
+kind = "peers_lossy"
+at = 10
+for = 1
+share = 0.5
+[[fault]]
+kind = "restart"
+at = 10
+for = 2
+who = "nodes in a"
+[[fault]]
+kind = "kill"
+at = 12
+for = 0.5
+who = "30% of nodes"
+)";
+  Options o;
+  o.scenario = parse_scenario(faults, "all.toml");
+  EXPECT_EQ(o.scenario.faults.size(), 21U);
+  const auto played = play(o);
+  EXPECT_EQ(played.status(), 0);
+  for (const auto& text : played.breaches) ADD_FAILURE() << text;
+  EXPECT_GT(played.figures["figures"]["served_share"].get<double>(), 0.3);
+}
+
+// ---- The tool ------------------------------------------------------------------------------------------------------
+
+struct Tool : ::testing::Test {
+  std::filesystem::path dir = [] {
+    std::string name = (std::filesystem::temp_directory_path() / "petrelrail-lab-test-XXXXXX").string();
+    return std::filesystem::path(mkdtemp(name.data()));
+  }();
+  ~Tool() override { std::filesystem::remove_all(dir); }
+
+  int run(const std::string& words) {
+    const int status = std::system(
+        (std::string(LAB) + " " + words + " >" + (dir / "out").string() + " 2>&1").c_str());
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string said() const {
+    std::ostringstream text;
+    text << std::ifstream(dir / "out").rdbuf();
+    return text.str();
+  }
+  std::string scenario(const std::string& text) {
+    std::ofstream(dir / "s.toml") << text;
+    return (dir / "s.toml").string();
+  }
+};
+
+TEST_F(Tool, HelpOnEveryVerb) {
+  for (const std::string verb : {"", "run", "check", "compare", "report", "list"}) {
+    EXPECT_EQ(run(verb + " --help"), 0) << verb;
+    EXPECT_NE(said().find("--help"), std::string::npos) << verb;
+  }
+  EXPECT_EQ(run("dance"), 2);
+  EXPECT_EQ(run("run"), 2);
+}
+TEST_F(Tool, CheckNamesWhatIsWrong) {
+  EXPECT_EQ(run("check " + scenario("[fleet]\nnodes = 5")), 0);
+  EXPECT_EQ(run("check " + scenario("[fleet]\nnodes = -5")), 2);
+  EXPECT_NE(said().find("s.toml:2: fleet.nodes: "), std::string::npos) << said();
+  EXPECT_EQ(run("check " + (dir / "none.toml").string()), 2);
+}
+TEST_F(Tool, ARunSaysWhichExpectationIsNotMet) {
+  const std::string
+      few = "[fleet]\nnodes = 2\nseconds = 2\n[servers]\ncount = 2\n[[expect]]\nfigure = \"served\"\n";
+  EXPECT_EQ(run("run " + scenario(few + "at_least = 1")), 0) << said();
+  EXPECT_EQ(run("run " + scenario(few + "at_least = 100000")), 1);
+  EXPECT_NE(said().find("expectation not met: served is "), std::string::npos) << said();
+}
+// Real processes: judged by counts and rules, not by times.
+TEST_F(Tool, FourProcessesServeThroughAKillAndAnUpgradeAndNoneIsLeftOver) {
+  const auto file = scenario(R"(
+[fleet]
+nodes = 4
+seconds = 6
+[servers]
+count = 4
+[clients]
+load = 0.1
+[[fault]]
+kind = "kill"
+at = 1
+for = 1
+who = "nodes 0"
+[[fault]]
+kind = "upgrade"
+at = 2
+who = "nodes 1"
+[[fault]]
+kind = "restart"
+at = 3
+who = "nodes 2"
+[[fault]]
+kind = "stall"
+at = 3
+for = 0.5
+who = "nodes 3"
+[[expect]]
+figure = "served"
+at_least = 10
+[[expect]]
+figure = "breaches"
+at_most = 0
+)");
+  const auto out = dir / "play";
+  // How late the lab runs depends on the machine: it is no question here.
+  EXPECT_EQ(run("run " + file + " --carrier processes --most-lag-ms 10000 --out " + out.string()), 0)
+      << said();
+  for (const auto* name : {"events.jsonl", "figures.json", "node-0.log", "node-3.log"})
+    EXPECT_TRUE(std::filesystem::exists(out / name)) << name;
+  std::ostringstream log;
+  log << std::ifstream(out / "node-1.log").rdbuf();
+  EXPECT_NE(log.str().find("taken over from a predecessor"), std::string::npos) << log.str();
+}
+TEST_F(Tool, AProgramThatDoesNotStartIsToldWithItsLastLines) {
+  std::ofstream(dir / "bad") << "#!/bin/sh\necho first words\necho last words\nexit 7\n";
+  std::filesystem::permissions(dir / "bad", std::filesystem::perms::owner_all);
+  EXPECT_EQ(run("run " + scenario("[fleet]\nnodes = 1") + " --carrier processes --program " +
+                (dir / "bad").string()),
+            3);
+  EXPECT_NE(said().find("did not start (exit status 7)"), std::string::npos) << said();
+  EXPECT_NE(said().find("last words"), std::string::npos) << said();
+  EXPECT_EQ(run("run " + scenario("") + " --carrier processes --program /none"), 3);
+}
+
+}  // namespace
+}  // namespace petrelrail::lab::test
