--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -83,8 +83,8 @@
   std::printf("  asked %.0f  served %.0f (%.1f%%)  refused %.0f  failed %.0f  unreachable %.0f  lost %.0f\n",
               f("asked"), f("served"), 100 * f("served_share"), f("refused"), f("failed"), f("unreachable"),
               f("lost"));
-  std::printf("  worth %.3f  g %.3f  beyond quota %.0f  p50 %.0f ms  p99 %.0f ms\n", f("worth"), f("g"),
-              f("beyond"), f("p50_ms"), f("p99_ms"));
+  std::printf("  worth %.3f  worst 10 s %.3f  g %.3f  beyond quota %.0f  p50 %.0f ms  p99 %.0f ms\n",
+              f("worth"), f("worst_window"), f("g"), f("beyond"), f("p50_ms"), f("p99_ms"));
   std::printf("  attempts %.0f  handshakes %.0f  counter calls %.0f (%.1f%% unanswered)  datagrams %.0f\n",
               f("attempts"), f("handshakes"), f("calls"), 100 * f("calls_mute_share"), f("datagrams"));
   if (f("cpu_us_per_try") > 0)
--- a/src/world/figures.cpp
+++ b/src/world/figures.cpp
@@ -20,12 +20,23 @@
 
 double share(double part, double all) { return all > 0 ? part / all : 0; }
 
+// Of the goal; and the worst stretch it looks at, in seconds.
+constexpr double kWhole = 0.5, kWorstWindow = 0.25, kWorstPlan = 0.25, kStretch = 10;
+
+std::pair<double, double>& plan_of(Figures::Counts& c, std::uint32_t plan) {
+  if (c.plans.size() <= plan) c.plans.resize(plan + 1);
+  return c.plans[plan];
+}
+
 }  // namespace
 
 const char* name_of(Count c) { return kNames[static_cast<std::size_t>(c)]; }
 
 Figures::Counts& Figures::Counts::operator+=(const Counts& other) {
   for (std::size_t i = 0; i < n.size(); ++i) n[i] += other.n[i];
+  plans.resize(std::max(plans.size(), other.plans.size()));
+  for (std::size_t i = 0; i < other.plans.size(); ++i)
+    plans[i].first += other.plans[i].first, plans[i].second += other.plans[i].second;
   earned += other.earned, offered += other.offered, over_price += other.over_price;
   return *this;
 }
@@ -60,6 +71,7 @@
   if (fits) store.held -= s.units;
   const double worth = p.price * s.units * (fits ? 1 : p.over_worth);
   second(now).offered += worth;
+  if (fits) plan_of(second(now), s.plan).second += worth;
   if (s.node < nodes_.size()) nodes_[s.node].offered += worth;
 }
 
@@ -75,6 +87,7 @@
   const auto& p = plans_[r.plan];
   const double worth = p.price * r.units * (inside ? 1 : p.over_worth);
   second(r.asked).earned += worth;
+  if (inside) plan_of(second(r.asked), r.plan).first += worth;
   if (r.node < nodes_.size()) nodes_[r.node].earned += worth;
 }
 
@@ -176,22 +189,62 @@
 
 std::vector<std::string> Figures::names() {
   std::vector<std::string> names(kNames.begin(), kNames.end());
-  for (const char* n :
-       {"served_share", "refused_share", "failed_share", "late_share", "beyond_share", "worth", "g", "p50_ms",
-        "p90_ms", "p99_ms", "calls_per_s", "calls_per_try", "calls_mute_share", "handshakes_per_try",
-        "attempts_per_try", "bytes_per_try", "most_datagrams_in", "cpu_us_per_try", "memory_mb"})
+  for (const char* n : {"served_share",
+                        "refused_share",
+                        "failed_share",
+                        "late_share",
+                        "beyond_share",
+                        "worth",
+                        "worst_window",
+                        "g",
+                        "p50_ms",
+                        "p90_ms",
+                        "p99_ms",
+                        "calls_per_s",
+                        "calls_per_try",
+                        "calls_mute_share",
+                        "handshakes_per_try",
+                        "attempts_per_try",
+                        "bytes_per_try",
+                        "most_datagrams_in",
+                        "cpu_us_per_try",
+                        "memory_mb"})
     names.emplace_back(n);
   return names;
 }
 
-std::optional<double> Figures::value(const std::string& name, double from, double to) const {
+Figures::Counts Figures::span(double from, double to) const {
   Counts c;
-  double span = 0;
   for (std::size_t i = 0; i < seconds_.size(); ++i) {
     const bool after = i + 1 == seconds_.size() && to >= scenario_.fleet.seconds;  // what was out at the end
     if (static_cast<double>(i) >= std::floor(from) && (after || static_cast<double>(i) < to))
-      c += seconds_[i], span += after ? 0 : 1;
+      c += seconds_[i];
+  }
+  return c;
+}
+
+double Figures::worst_window(double from, double to) const {
+  double worst = share(span(from, to).earned, span(from, to).offered);
+  for (double at = std::floor(from); at + kStretch <= to; ++at) {
+    const auto c = span(at, at + kStretch);
+    worst = std::min(worst, share(c.earned, c.offered));
   }
+  return worst;
+}
+
+double Figures::goal(double from, double to) const {
+  const auto c = span(from, to);
+  double worst_plan = 1;
+  for (const auto& [earned, offered] : c.plans)
+    if (offered > 0) worst_plan = std::min(worst_plan, earned / offered);
+  return kWhole * share(c.earned, c.offered) + kWorstWindow * worst_window(from, to) +
+         kWorstPlan * worst_plan - share(c.over_price, c.offered) -
+         scenario_.counter.price *
+             share(static_cast<double>(c[Count::calls]), static_cast<double>(c[Count::asked]));
+}
+
+std::optional<double> Figures::value(const std::string& name, double from, double to) const {
+  const Counts c = span(from, to);
   const auto n = [&](Count x) { return static_cast<double>(c[x]); };
   for (std::size_t i = 0; i < kNames.size(); ++i)
     if (name == kNames[i]) return static_cast<double>(c.n[i]);
@@ -202,13 +255,12 @@
   if (name == "late_share") return share(n(Count::late), n(Count::served));
   if (name == "beyond_share") return share(n(Count::beyond), n(Count::attempts));
   if (name == "worth") return worth;
-  if (name == "g")
-    return worth - share(c.over_price, c.offered) -
-           scenario_.counter.price * share(n(Count::calls), n(Count::asked));
+  if (name == "g") return goal(from, to);
+  if (name == "worst_window") return worst_window(from, to);
   if (name == "p50_ms") return latency_ms(0.5, from, to);
   if (name == "p90_ms") return latency_ms(0.9, from, to);
   if (name == "p99_ms") return latency_ms(0.99, from, to);
-  if (name == "calls_per_s") return share(n(Count::calls), std::min(span, to - from));
+  if (name == "calls_per_s") return share(n(Count::calls), to - from);
   if (name == "calls_per_try") return share(n(Count::calls), n(Count::tries));
   if (name == "calls_mute_share") return share(n(Count::calls_mute), n(Count::calls));
   if (name == "handshakes_per_try") return share(n(Count::handshakes), n(Count::tries));
--- a/src/world/figures.hpp
+++ b/src/world/figures.hpp
@@ -54,6 +54,7 @@
   struct Counts {
     std::array<std::uint64_t, static_cast<std::size_t>(Count::number_of)> n{};
     double earned = 0, offered = 0, over_price = 0;  // worth
+    std::vector<std::pair<double, double>> plans{};  // by plan: earned and offered inside the quotas
     std::uint64_t& operator[](Count c) { return n[static_cast<std::size_t>(c)]; }
     std::uint64_t operator[](Count c) const { return n[static_cast<std::size_t>(c)]; }
     Counts& operator+=(const Counts& other);
@@ -61,6 +62,10 @@
   const std::vector<Counts>& seconds_of() const { return seconds_; }
   const std::vector<Counts>& nodes() const { return nodes_; }
   std::vector<Counts> zones() const;
+  // The goal of the settings: half of the whole span's worth, a quarter of the worst 10 s and of the worst plan, less the
+  // prices of what was sent on beyond quotas and of the counter's calls.
+  double goal(double from, double to) const;
+  double worst_window(double from, double to) const;
   Counts total() const;
   // Milliseconds from a request's first try to its 200, that a share of all stay under.
   double latency_ms(double share, double from, double to) const;
@@ -82,6 +87,7 @@
     bool ended = false, counted = false;
   };
 
+  Counts span(double from, double to) const;
   Counts& second(Time at) { return seconds_[index(at)]; }
   std::size_t index(Time at) const;
   void add(Time at, std::uint32_t node, Count c, std::uint64_t n = 1);
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -290,8 +290,7 @@
   const double keep = c.dice.part();
   if (when >= quiet_from_) return;
   agenda_.at(when, [this, customer, keep, most] {
-    auto& asks = customers_[customer];
-    if (keep * most < rate_now(asks, agenda_.now())) ask(asks, nullptr);
+    if (keep * most < rate_now(customers_[customer], agenda_.now())) ask(customer, nullptr);
     next_arrival(customer);
   });
 }
@@ -321,12 +320,14 @@
   return last;
 }
 
-void World::ask(Customer& c, const Try* before) {
+void World::ask(std::size_t customer, const Try* before) {
+  auto& c = customers_[customer];
   const auto& terms = scenario_.clients;
   const Time now = agenda_.now();
   Try t;
   t.id = TryId(mix(dice_.seed() ^ mix(++last_try_)));
-  t.customer = c.id, t.plan = c.plan, t.first = c.first, t.spread = c.spread, t.sent = now;
+  t.customer = c.id, t.asker = customer, t.plan = c.plan, t.first = c.first, t.spread = c.spread,
+  t.sent = now;
   if (before != nullptr) {
     t.root = before->root, t.number = before->number + 1, t.asked = before->asked, t.last = before->last;
   } else {
@@ -370,16 +371,13 @@
 void World::retry(OpenTry& o, Duration advice) {
   const auto& terms = scenario_.clients;
   if (std::exchange(o.retried, true) || o.t.number >= terms.retries) return;
-  const auto customer = std::ranges::find(customers_, o.t.customer, &Customer::id);
   double ms = std::min(terms.backoff_ms.least * std::exp2(o.t.number), terms.backoff_ms.most);
   ms *= clients_.between(1 - kBackoffSpread, 1 + kBackoffSpread);
-  if (customer->honours && advice > Duration{})
+  if (customers_[o.t.asker].honours && advice > Duration{})
     ms = std::max(ms, std::min(seconds(advice) * 1e3, terms.most_retry_after_ms));
   const Time when = agenda_.now() + from_seconds(ms / 1e3);
   if (when >= o.t.last) return;
-  agenda_.at(when, [this, before = o.t, at = customer - customers_.begin()] {
-    ask(customers_[static_cast<std::size_t>(at)], &before);
-  });
+  agenda_.at(when, [this, before = o.t] { ask(before.asker, &before); });
 }
 
 void World::taken(TryId id) { see(TryTaken{id}); }
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -24,6 +24,7 @@
   TryId id{}, root{};
   std::uint32_t node = 0, plan = 0, number = 0;  // number: 0 for the first try
   CustomerId customer{};
+  std::size_t asker = 0;  // the customer's place in the world's table
   double units = 1;
   std::uint32_t first = 0, spread = 1;       // the customer's set
   Time asked{}, sent{}, deadline{}, last{};  // last: when the client gives up for good
@@ -169,7 +170,7 @@
   void next_arrival(std::size_t customer);
   double rate_now(const Customer& c, Time at) const;
   std::optional<std::uint32_t> pick_node(Customer& c);
-  void ask(Customer& c, const Try* before);
+  void ask(std::size_t customer, const Try* before);
   void time_up(TryId id);
   void retry(OpenTry& o, Duration advice);
   void forget(TryId id);
