Tests: the lab's tool interrupted and killed in the midst of a play

Two tests start it with three real nodes: Ctrl-C ends all and writes the figures, and killed outright it takes its nodes along. Both wait for processes to be there or gone, not for a time.

--- a/src/world/seen.hpp
+++ b/src/world/seen.hpp
@@ -20,9 +20,9 @@
   std::uint32_t plan = 0;
   double units = 1;
   std::uint32_t spread = 1;  // nodes in the customer's set
-  Time deadline{};  // when the client's wait ends
-  TryId root{};     // the first try of this request; itself, where it is that
-  Time asked{};     // when the client's first try was sent
+  Time deadline{};           // when the client's wait ends
+  TryId root{};              // the first try of this request; itself, where it is that
+  Time asked{};              // when the client's first try was sent
 };
 struct TryTaken {  // the node's machine has its last byte
   TryId id{};
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,10 +1,13 @@
 // The lab's tool and its scenarios.
 #include <gtest/gtest.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <sstream>
 
 #include "experiment.hpp"
@@ -420,6 +423,66 @@
 )");
   EXPECT_EQ(run("run " + file + " --carrier processes --most-lag-ms 10000"), 0) << said();
 }
+// The tool as a child, with real nodes as its own children, ended in the midst of a play.
+struct EndedTool : Tool {
+  pid_t tool = 0;
+  std::vector<pid_t> nodes;
+
+  static std::vector<pid_t> children_of(pid_t parent) {
+    std::vector<pid_t> found;
+    for (const auto& e : std::filesystem::directory_iterator("/proc")) {
+      std::ifstream stat(e.path() / "stat");
+      std::string text;
+      if (!std::getline(stat, text)) continue;
+      std::istringstream rest(text.substr(text.rfind(')') + 2));
+      char state = 0;
+      pid_t of = 0;
+      if (rest >> state >> of && of == parent && state != 'Z')
+        found.push_back(std::stoi(e.path().filename()));
+    }
+    return found;
+  }
+  static bool runs(pid_t id) {
+    std::ifstream stat("/proc/" + std::to_string(id) + "/stat");
+    std::string text;
+    return std::getline(stat, text) && text[text.rfind(')') + 2] != 'Z';
+  }
+  static bool until(const std::function<bool()>& so) {
+    for (int i = 0; i < 3000 && !so(); ++i) usleep(10000);
+    return so();
+  }
+  void begin() {
+    const auto file = scenario("[fleet]\nnodes = 3\nseconds = 3600\n[clients]\nload = 0.05");
+    const auto out = (dir / "play").string();
+    tool = fork();
+    if (tool == 0) {
+      execl(LAB, LAB, "run", file.c_str(), "--carrier", "processes", "--quiet", "--out", out.c_str(),
+            nullptr);
+      _exit(99);
+    }
+    ASSERT_TRUE(until([&] { return (nodes = children_of(tool)).size() == 3; }));
+  }
+  bool all_gone() {
+    return until([&] { return std::ranges::none_of(nodes, [](pid_t id) { return runs(id); }); });
+  }
+};
+
+TEST_F(EndedTool, CtrlCEndsEveryProcessAndWritesWhatThereIs) {
+  begin();
+  kill(tool, SIGINT);
+  int status = 0;
+  ASSERT_EQ(waitpid(tool, &status, 0), tool);
+  ASSERT_TRUE(WIFEXITED(status));
+  EXPECT_EQ(WEXITSTATUS(status), 1);
+  EXPECT_TRUE(all_gone());
+  EXPECT_TRUE(std::filesystem::exists(dir / "play" / "figures.json"));
+}
+TEST_F(EndedTool, NoProcessOutlivesAToolThatIsKilled) {
+  begin();
+  kill(tool, SIGKILL);
+  ASSERT_EQ(waitpid(tool, nullptr, 0), tool);
+  EXPECT_TRUE(all_gone());
+}
 TEST_F(Tool, AProgramThatDoesNotStartIsToldWithItsLastLines) {
   std::ofstream(dir / "bad") << "#!/bin/sh\necho first words\necho last words\nexit 7\n";
   std::filesystem::permissions(dir / "bad", std::filesystem::perms::owner_all);
