The lab's counter and agent links write through one outbox

Need: both held the same text-to-be-written and the same loop of writes.

Change: Outbox in lab/wire.hpp; behaviour as it was.

--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -286,6 +286,8 @@
     }
     lab_.nodes_[node_].counter_links.erase(shared_from_this());
   }
+  bool gone() const { return gone_; }
+  void lost() { close(false); }
   // Something that was written to it never came anywhere.
   bool swallowed() const { return swallowed_; }
 
@@ -337,30 +339,21 @@
     slot->text = std::move(text), slot->told = true, slot->spoilt = spoilt;
     bool last = false;
     while (!slots_.empty() && slots_.front()->told && !last) {
-      out_ += slots_.front()->text + "\r\n";
+      out_.add(slots_.front()->text + "\r\n");
       last = slots_.front()->spoilt;
       slots_.pop_front();
     }
     flush();
   }
-  void flush() {
-    if (gone_ || out_.empty() || !writing_.empty()) return;
-    writing_.swap(out_);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const error_code& failed, std::size_t) {
-                        self->writing_.clear();
-                        if (self->gone_) return;
-                        if (failed) return self->close(false);
-                        self->flush();
-                      });
-  }
+  void flush() { out_.flush(shared_from_this(), socket_); }
 
   Processes& lab_;
   std::uint32_t node_;
   Tcp::socket socket_;
   asio::steady_timer idle_;
   std::array<char, 4096> space_{};
-  std::string text_, out_, writing_;
+  std::string text_;
+  Outbox out_;
   std::deque<std::shared_ptr<Slot>> slots_;
   bool gone_ = false, swallowed_ = false;
 };
@@ -380,6 +373,8 @@
     socket_.close(ignored);
     lab_.nodes_[node_].agents.erase(shared_from_this());
   }
+  bool gone() const { return gone_; }
+  void lost() { close(); }
   void changed(std::span<const Entry> entries, std::int64_t revision) {
     if (watches_) chunk(lab_.list_json(node_, entries, revision, false) + "\n");
   }
@@ -400,13 +395,13 @@
     std::vector<Entry> entries;
     for (const auto& [number, e] : list.entries) entries.push_back(e);
     if (!target.starts_with("/api/targets")) {
-      out_ += "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+      out_.add("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
     } else if (target.find("watch=1") == std::string::npos) {
       const auto body = lab_.list_json(node_, entries, list.revision, true);
-      out_ += "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-              std::to_string(body.size()) + "\r\n\r\n" + body;
+      out_.add("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n" + body);
     } else {
-      out_ += "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+      out_.add("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
       watches_ = true;
       const auto from = target.find("from=");
       const auto known = from == std::string::npos ? 0 : std::strtoll(target.c_str() + from + 5, nullptr, 10);
@@ -427,20 +422,10 @@
   void chunk(const std::string& text) {
     char size[32];
     std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    out_ += size + text + "\r\n";
+    out_.add(size + text + "\r\n");
     flush();
   }
-  void flush() {
-    if (gone_ || out_.empty() || !writing_.empty()) return;
-    writing_.swap(out_);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const error_code& failed, std::size_t) {
-                        self->writing_.clear();
-                        if (self->gone_) return;
-                        if (failed) return self->close();
-                        self->flush();
-                      });
-  }
+  void flush() { out_.flush(shared_from_this(), socket_); }
 
   Processes& lab_;
   std::uint32_t node_;
@@ -448,7 +433,7 @@
   asio::steady_timer line_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::empty_body>> parser_;
-  std::string out_, writing_;
+  Outbox out_;
   bool watches_ = false, gone_ = false;
 };
 
--- a/lab/wire.hpp
+++ b/lab/wire.hpp
@@ -5,10 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "world/world.hpp"
 
@@ -29,6 +31,28 @@
   socket.close(ignored);
 }
 
+// What is to be written on a connection, one write at a time. The link that holds it says whether it is gone() and hears
+// when it is lost().
+class Outbox {
+ public:
+  void add(std::string_view text) { waiting_ += text; }
+  template <class Link>
+  void flush(std::shared_ptr<Link> link, Tcp::socket& socket) {
+    if (link->gone() || waiting_.empty() || !writing_.empty()) return;
+    writing_.swap(waiting_);
+    asio::async_write(socket, asio::buffer(writing_),
+                      [this, link, &socket](const error_code& failed, std::size_t) {
+                        writing_.clear();
+                        if (link->gone()) return;
+                        if (failed) return link->lost();
+                        flush(link, socket);
+                      });
+  }
+
+ private:
+  std::string waiting_, writing_;
+};
+
 // One address at which one node reaches one party. It keeps its port for life. `silent`: the queue of connections is
 // full, so that the system drops what asks for one, and it never comes up; `refused`: nobody listens.
 class Port {
