Take dead parts out of the lab, and drain a leaving node in one place

Need: read once more, a time that nobody used, an accessor that nobody called, a flag that nobody read, and two loops that watched a leaving process of the model.

Change: they are gone; term_node and upgrade_node share Model::drain.

--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -63,7 +63,6 @@
   }
   void go_on(const Try& t) {
     carry(t);
-    idle_ = false;
     write();
   }
   void close() {
@@ -138,7 +137,6 @@
       n.waiting.pop_front();
       return go_on(next);
     }
-    idle_ = true;
     n.idle.push_back(shared_from_this());
     parser_.emplace();
     read();  // sees the end
@@ -163,7 +161,7 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::uint64_t served_ = 0;
-  bool gone_ = false, idle_ = false, reading_ = false;
+  bool gone_ = false, reading_ = false;
 };
 
 // ---- A node's connection to a price server -----------------------------------------------------------------------
--- a/src/world/configuration.cpp
+++ b/src/world/configuration.cpp
@@ -97,7 +97,6 @@
   RuleTerms t;
   t.lost_after = from_seconds(s.clients.patience_ms / 1e3);
   t.drain_grace = from_seconds(s.servers.drain_grace_s + 0.05);
-  t.told_within = from_seconds(s.discovery.told_s);
   t.max_attempts = kAttempts;
   t.effect = s.clients.effect == "safe"    ? Effect::safe
              : s.clients.effect == "keyed" ? Effect::keyed
--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -388,25 +388,21 @@
   if (const auto p = std::exchange(n.serving, nullptr)) p->end();
 }
 
+// Takes new connections for a while, and ends when all that it has is done.
+void Model::drain(const std::shared_ptr<Process>& process, Time from) {
+  if (process->ended()) return;
+  auto& n = nodes_[process->node()];
+  if (n.stalled || !process->idle() || agenda_.now() < from + kNewAfterTerm)
+    return agenda_.after(kDrainLooks, [this, process, from] { drain(process, from); });
+  process->end();
+  std::erase(n.leaving, process);
+  if (n.serving != process) return;
+  n.serving = nullptr;
+  world_->node_ended(process->node());
+}
+
 void Model::term_node(std::uint32_t node) {
-  struct Look {
-    Model& model;
-    std::shared_ptr<Process> process;
-    Time from;
-    void operator()() const {
-      if (process->ended()) return;
-      const auto& n = model.nodes_[process->node()];
-      if (n.stalled || !process->idle() || model.agenda_.now() < from + kNewAfterTerm)
-        return model.agenda_.after(kDrainLooks, *this);
-      process->end();
-      auto& mine = model.nodes_[process->node()];
-      std::erase(mine.leaving, process);
-      if (mine.serving != process) return;
-      mine.serving = nullptr;
-      model.world_->node_ended(process->node());
-    }
-  };
-  if (nodes_[node].serving) Look{*this, nodes_[node].serving, agenda_.now()}();
+  if (nodes_[node].serving) drain(nodes_[node].serving, agenda_.now());
 }
 
 void Model::stall_node(std::uint32_t node, bool stalled) {
@@ -435,17 +431,7 @@
     next->happened(TakeOver{std::make_shared<const Succession>(old->gateway().hand_over(agenda_.now()))});
     n.leaving.push_back(old);
     n.serving = next;
-    struct Look {
-      Model& model;
-      std::shared_ptr<Process> process;
-      void operator()() const {
-        if (process->ended()) return;
-        if (!process->idle()) return model.agenda_.after(kDrainLooks, *this);
-        process->end();
-        std::erase(model.nodes_[process->node()].leaving, process);
-      }
-    };
-    agenda_.after(kNewAfterTerm, Look{*this, old});
+    drain(old, agenda_.now());
   });
 }
 
--- a/src/world/model.hpp
+++ b/src/world/model.hpp
@@ -55,6 +55,7 @@
   // Runs now, or once the node goes on.
   void enter(std::uint32_t node, std::function<void()> what);
   std::shared_ptr<Process> new_process(std::uint32_t node);
+  void drain(const std::shared_ptr<Process>& process, Time from);
 
   const Scenario& scenario_;
   Dice dice_;
--- a/src/world/rules.hpp
+++ b/src/world/rules.hpp
@@ -17,7 +17,6 @@
   Duration answer_slack = std::chrono::milliseconds(16 + 50);  // WIRE's, and 50 ms on sockets
   Duration lost_after = std::chrono::milliseconds(500);        // beyond its time a request is lost
   Duration drain_grace = std::chrono::milliseconds(1000 + 50);
-  Duration told_within = std::chrono::seconds(6);  // what discovery has to tell counts as told no later
   Duration ceiling_slack = std::chrono::milliseconds(150);  // the ceiling's rate over so long
   double told_share = 2.0 / 3;  // of what pushed a cold server over, from nodes that were told
   std::uint32_t max_attempts = 3;
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -115,7 +115,6 @@
   Duration client_way() { return network_.client_way(); }
   Duration handshake(std::uint32_t node, std::uint32_t server);
   const Try* find(TryId id) const;
-  const Try& open(TryId id) const { return tries_.at(id).t; }
   Agenda& agenda() { return agenda_; }
   const Scenario& scenario() const { return scenario_; }
 
