The lab's goal takes off all prices of the settings, each a figure of its own

Need: g left out the prices of attempts across zones, handshakes, wasted work, worth that ended late and datagrams, so a part that trades one of them for service could not be judged in the lab.

--- a/lab/scenario_file.cpp
+++ b/lab/scenario_file.cpp
@@ -212,6 +212,16 @@
   r.finish();
 }
 
+void read(Reader r, PriceTerms& t) {
+  for (const auto& [key, value] : {std::pair("cross_zone", &t.cross_zone),
+                                   {"handshake", &t.handshake},
+                                   {"waste", &t.waste},
+                                   {"late_fail", &t.late_fail},
+                                   {"peer", &t.peer}})
+    r.number(key, *value, 0, 1);
+  r.finish();
+}
+
 PlanTerms read_plan(Reader r, std::size_t number) {
   PlanTerms t;
   t.name = "plan" + std::to_string(number);
@@ -491,6 +501,7 @@
   else
     s.clients.plans = usual_plans();
   if (auto t = r.table("peers")) read(std::move(*t), s.peers);
+  if (auto t = r.table("prices")) read(std::move(*t), s.prices);
   for (auto& t : r.tables("fault")) s.faults.push_back(read_fault(std::move(t), s));
   for (auto& t : r.tables("expect")) s.expectations.push_back(read_expectation(std::move(t), s));
   r.finish();
--- a/src/world/configuration.cpp
+++ b/src/world/configuration.cpp
@@ -82,7 +82,10 @@
                              {"value-factor", p.price},
                              {"over-worth", p.over_worth},
                              {"overrun-cost", p.over_cost}});
-  f["prices"] = {{"cross-zone", 0.005}, {"probe", 0.0}, {"peer", 0.02}, {"handshake", 0.0}};
+  f["prices"] = {{"cross-zone", s.prices.cross_zone},
+                 {"probe", 0.0},
+                 {"peer", s.prices.peer},
+                 {"handshake", s.prices.handshake}};
   f["safety"] = {{"answer-slack-ns", 16'000'000},
                  {"drain-grace-ns", nanoseconds(s.servers.drain_grace_s)},
                  {"fall-multiple", s.servers.fall_multiple},
--- a/src/world/figures.cpp
+++ b/src/world/figures.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr std::array<const char*, static_cast<std::size_t>(Count::number_of)> kNames{
-    "asked", "tries",      "served",    "refused",        "failed",       "unreachable",
-    "lost",  "late",       "beyond",    "attempts",       "handshakes",   "no_connect",
-    "calls", "calls_mute", "datagrams", "datagram_bytes", "datagrams_in", "breaches"};
+    "asked",      "tries",     "served",         "refused",      "failed",     "unreachable", "lost",
+    "late",       "beyond",    "attempts",       "cross_zone",   "handshakes", "no_connect",  "calls",
+    "calls_mute", "datagrams", "datagram_bytes", "datagrams_in", "breaches"};
 
 constexpr double kLeastMs = 1, kMostMs = 60000;
 constexpr unsigned kBins = 220;  // about 5% each
@@ -38,6 +38,8 @@
   for (std::size_t i = 0; i < other.plans.size(); ++i)
     plans[i].first += other.plans[i].first, plans[i].second += other.plans[i].second;
   earned += other.earned, offered += other.offered, over_price += other.over_price;
+  late_worth += other.late_worth, work_s += other.work_s, useful_s += other.useful_s;
+  taken_bytes += other.taken_bytes;
   return *this;
 }
 
@@ -71,12 +73,16 @@
   if (fits) store.held -= s.units;
   const double worth = p.price * s.units * (fits ? 1 : p.over_worth);
   second(now).offered += worth;
+  roots_[s.id].worth = worth;
   if (fits) plan_of(second(now), s.plan).second += worth;
   if (s.node < nodes_.size()) nodes_[s.node].offered += worth;
 }
 
 void Figures::served(Time now, Request& r, bool inside) {
-  if (std::exchange(done_[r.root], true)) return;
+  auto& root = roots_[r.root];
+  if (std::exchange(root.served, true)) return;
+  second(r.asked).useful_s += r.ran_s;
+  if (std::exchange(root.late_failed, false)) second(r.asked).late_worth -= root.worth;
   const double ms = seconds(now - r.asked) * 1e3;
   const bool late = ms > scenario_.clients.aim_ms;
   // By the second in which it was asked for, so that shares hold for a span.
@@ -91,12 +97,18 @@
   if (r.node < nodes_.size()) nodes_[r.node].earned += worth;
 }
 
+// A try has ended with nothing: where the request's aim has passed, what it was worth is gone for good.
+void Figures::unserved(Time now, const Request& r) {
+  auto& root = roots_[r.root];
+  if (root.served || seconds(now - r.asked) * 1e3 <= scenario_.clients.aim_ms) return;
+  if (!std::exchange(root.late_failed, true)) second(r.asked).late_worth += root.worth;
+}
+
 void Figures::saw(Time now, const Seen& s, const Rules& rules) {
   if (const auto* e = std::get_if<TrySent>(&s)) {
     if (e->id == e->root) asked(now, *e);
     add(now, e->node, Count::tries);
-    open_[e->id] = {e->node, e->plan, e->units, e->asked, now, e->root, false, false};
-    if (e->id == e->root) done_[e->root] = false;
+    open_[e->id] = {e->node, e->plan, e->units, e->asked, now, e->root};
     return;
   }
   const auto request = [&](TryId id) -> Request* {
@@ -104,7 +116,7 @@
     return it == open_.end() || it->second.ended ? nullptr : &it->second;
   };
   const auto end = [&](TryId id, Count c) {
-    if (auto* r = request(id)) add(r->sent, r->node, c), r->ended = true;
+    if (auto* r = request(id)) add(r->sent, r->node, c), r->ended = true, unserved(now, *r);
   };
   if (const auto* a = std::get_if<TryAnswered>(&s)) {
     auto* r = request(a->id);
@@ -112,6 +124,7 @@
     r->ended = true;
     if (a->verdict == Verdict::served && a->genuine) return served(now, *r, rules.inside(a->id));
     add(r->sent, r->node, a->verdict == Verdict::refused ? Count::refused : Count::failed);
+    unserved(now, *r);
   } else if (const auto* b = std::get_if<TryBroken>(&s)) {
     end(b->id, Count::failed);
   } else if (const auto* u = std::get_if<TryUnreachable>(&s)) {
@@ -122,11 +135,19 @@
     end(l->id, Count::failed);
   } else if (const auto* t = std::get_if<AttemptArrived>(&s)) {
     add(now, t->node, Count::attempts);
+    if (t->cross_zone) add(now, t->node, Count::cross_zone);
+    running_[t->attempt] = {t->id, t->work_s};
     auto* r = request(t->id);
     if (r == nullptr || std::exchange(r->counted, true) || rules.inside(t->id)) return;
     add(now, t->node, Count::beyond);
     if (r->plan < plans_.size())
       second(now).over_price += plans_[r->plan].over_cost * plans_[r->plan].price * r->units;
+  } else if (const auto* over = std::get_if<AttemptOver>(&s)) {
+    const auto run = running_.extract(over->attempt);
+    if (run.empty() || over->never_ran) return;
+    const auto it = open_.find(run.mapped().id);
+    second(it == open_.end() ? now : it->second.asked).work_s += run.mapped().work_s;
+    if (it != open_.end()) it->second.ran_s = run.mapped().work_s;
   } else if (const auto* h = std::get_if<Handshake>(&s)) {
     add(now, h->node, h->up ? Count::handshakes : Count::no_connect);
   } else if (const auto* c = std::get_if<CounterCalled>(&s)) {
@@ -137,6 +158,7 @@
     add(now, d->from, Count::datagram_bytes, d->bytes);
     if (!d->taken) return;
     add(now, d->to, Count::datagrams_in);
+    second(now).taken_bytes += d->bytes;
     auto& [at, n] = in_[d->to];
     if (at != index(now)) at = index(now), n = 0;
     most_in_ = std::max(most_in_, ++n);
@@ -210,6 +232,7 @@
                         "cpu_us_per_try",
                         "memory_mb"})
     names.emplace_back(n);
+  for (const auto& [name, points] : Figures(Scenario{}, Time{}).costs(0, 0)) names.emplace_back(name);
   return names;
 }
 
@@ -237,10 +260,25 @@
   double worst_plan = 1;
   for (const auto& [earned, offered] : c.plans)
     if (offered > 0) worst_plan = std::min(worst_plan, earned / offered);
-  return kWhole * share(c.earned, c.offered) + kWorstWindow * worst_window(from, to) +
-         kWorstPlan * worst_plan - share(c.over_price, c.offered) -
-         scenario_.counter.price *
-             share(static_cast<double>(c[Count::calls]), static_cast<double>(c[Count::asked]));
+  double goal = kWhole * share(c.earned, c.offered) + kWorstWindow * worst_window(from, to) +
+                kWorstPlan * worst_plan;
+  for (const auto& [name, points] : costs(from, to)) goal -= points;
+  return goal;
+}
+
+std::vector<std::pair<const char*, double>> Figures::costs(double from, double to) const {
+  const auto c = span(from, to);
+  const auto& p = scenario_.prices;
+  const auto asked = static_cast<double>(c[Count::asked]);
+  const auto each = [&](Count x) { return share(static_cast<double>(c[x]), asked); };
+  const double wasted = std::max(0.0, c.work_s - c.useful_s);
+  return {{"cost_beyond", share(c.over_price, c.offered)},
+          {"cost_calls", scenario_.counter.price * each(Count::calls)},
+          {"cost_cross_zone", p.cross_zone * each(Count::cross_zone)},
+          {"cost_handshakes", p.handshake * each(Count::handshakes)},
+          {"cost_waste", p.waste * share(wasted, asked * scenario_.servers.work_ms / 1e3)},
+          {"cost_late", p.late_fail * share(c.late_worth, c.offered)},
+          {"cost_peers", p.peer * share(c.taken_bytes, asked * scenario_.peers.most_bytes)}};
 }
 
 std::optional<double> Figures::value(const std::string& name, double from, double to) const {
@@ -269,6 +307,8 @@
   if (name == "most_datagrams_in") return static_cast<double>(most_in_);
   if (name == "cpu_us_per_try") return 1e6 * share(spent().cpu_s, static_cast<double>(total()[Count::tries]));
   if (name == "memory_mb") return spent().memory_mb;
+  for (const auto& [cost, points] : costs(from, to))
+    if (name == cost) return points;
   return std::nullopt;
 }
 
--- a/src/world/figures.hpp
+++ b/src/world/figures.hpp
@@ -28,6 +28,7 @@
   late,         // served beyond their aim
   beyond,       // tries sent on beyond their customer's quota
   attempts,     // that arrived whole at price servers
+  cross_zone,   // of these, at servers of another zone than the node's
   handshakes,   // of new connections to price servers
   no_connect,   // connects that failed
   calls,        // to the counter
@@ -54,6 +55,9 @@
   struct Counts {
     std::array<std::uint64_t, static_cast<std::size_t>(Count::number_of)> n{};
     double earned = 0, offered = 0, over_price = 0;  // worth
+    double late_worth = 0;                           // that ended unserved after its aim
+    double work_s = 0, useful_s = 0;  // of price servers: all that ran, and what served an answer
+    double taken_bytes = 0;           // of datagrams
     std::vector<std::pair<double, double>> plans{};  // by plan: earned and offered inside the quotas
     std::uint64_t& operator[](Count c) { return n[static_cast<std::size_t>(c)]; }
     std::uint64_t operator[](Count c) const { return n[static_cast<std::size_t>(c)]; }
@@ -62,10 +66,12 @@
   const std::vector<Counts>& seconds_of() const { return seconds_; }
   const std::vector<Counts>& nodes() const { return nodes_; }
   std::vector<Counts> zones() const;
-  // The goal of the settings: half of the whole span's worth, a quarter of the worst 10 s and of the worst plan, less the
-  // prices of what was sent on beyond quotas and of the counter's calls.
+  // The goal of the settings: half of the whole span's worth, a quarter of the worst 10 s and of the worst plan, less
+  // what costs() sums up.
   double goal(double from, double to) const;
   double worst_window(double from, double to) const;
+  // The prices of a span, each in points of the goal, by name.
+  std::vector<std::pair<const char*, double>> costs(double from, double to) const;
   Counts total() const;
   // Milliseconds from a request's first try to its 200, that a share of all stay under.
   double latency_ms(double share, double from, double to) const;
@@ -85,6 +91,15 @@
     Time asked{}, sent{};
     TryId root{};
     bool ended = false, counted = false;
+    double ran_s = 0;  // of its attempt that ended last, by a server's core
+  };
+  struct Root {  // a request, over all its tries
+    bool served = false, late_failed = false;
+    double worth = 0;
+  };
+  struct Running {
+    TryId id{};
+    double work_s = 0;
   };
 
   Counts span(double from, double to) const;
@@ -93,6 +108,7 @@
   void add(Time at, std::uint32_t node, Count c, std::uint64_t n = 1);
   void asked(Time now, const TrySent& s);
   void served(Time now, Request& r, bool inside);
+  void unserved(Time now, const Request& r);
   Histogram merged(double from, double to) const;
 
   Scenario scenario_;
@@ -101,7 +117,8 @@
   std::vector<Counts> seconds_, nodes_;
   std::vector<Histogram> latency_;
   std::unordered_map<TryId, Request> open_;
-  std::unordered_map<TryId, bool> done_;  // by root: served
+  std::unordered_map<TryId, Root> roots_;
+  std::unordered_map<std::uint64_t, Running> running_;  // attempts
   struct Store {
     double held = 0;
     Time at{};
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -102,6 +102,14 @@
   std::uint32_t most_bytes = 256;
 };
 
+struct PriceTerms {           // WIRE, `prices`: points off the goal, each times its share or rate
+  double cross_zone = 0.005;  // attempts at servers of another zone, per first try
+  double handshake = 0;       // new connections, per first try
+  double waste = 0.03;        // servers' work that served no answer, per work of the first tries
+  double late_fail = 0.03;    // worth that ended unserved after its aim, per worth offered
+  double peer = 0.02;         // datagrams' bytes taken in, per 256 bytes a first try
+};
+
 // Which parties something happens to.
 struct Selector {
   enum class Kind { nodes, servers, counter, discovery, clients } kind = Kind::nodes;
@@ -163,6 +171,7 @@
   DiscoveryTerms discovery;
   ClientTerms clients;
   PeerTerms peers;
+  PriceTerms prices;
   std::vector<Fault> faults;
   std::vector<Expectation> expectations;
 };
--- a/src/world/seen.hpp
+++ b/src/world/seen.hpp
@@ -77,6 +77,8 @@
   ServerId server{};
   Time first_byte{};
   std::uint64_t attempt = 0;  // a number of its own
+  double work_s = 0;          // that it takes of a reference core
+  bool cross_zone = false;    // the server is in another zone than the node
 };
 struct AttemptOver {  // answered, or its connection has ended
   TryId id{};
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -449,13 +449,14 @@
     return AttemptNumber::none;
   run_server(server);
   const auto number = AttemptNumber(++last_attempt_);
-  see(AttemptArrived{id, node, ServerId(server), first_byte, last_attempt_});
   const auto* t = find(id);
   const auto root = static_cast<std::uint64_t>(t != nullptr ? t->root : id);
   const auto& terms = scenario_.servers;
   auto dice = works_.stream("request", root);
   const double work = dice.lognormal(terms.work_ms / 1e3, terms.work_cv) *
                       works_.stream("attempt", root + last_attempt_).lognormal(1, terms.attempt_noise);
+  see(AttemptArrived{id, node, ServerId(server), first_byte, last_attempt_, work,
+                     zone_of_node(node) != s.zone});
   attempts_.emplace(number, Attempt{node, server, id, JobId(last_attempt_)});
   const auto entry = nodes_[node].list.entries.find(server);
   const bool told = entry != nodes_[node].list.entries.end() && entry->second.started == s.started;
