The model's nodes keep to the servers' share of their descriptors

Need: a node of the model opened as many connections as it liked, while the program has a share of its descriptors for price servers and lets go what idles elsewhere, or sends nothing, where that is used up.

Change: the same in the model, with the facts of src/node/facts.hpp instead of copies of them.

--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -5,18 +5,15 @@
 
 #include "configuration.hpp"
 #include "helpers.hpp"
+#include "node/facts.hpp"
 
 namespace petrelrail::world {
 namespace {
 
 using namespace std::chrono_literals;
 
-// Of src/node, as far as a fleet's course depends on it.
-constexpr Duration kDrainLooks = 20ms;     // a node that ends looks so often whether all is done
-constexpr Duration kNewAfterTerm = 600ms;  // and takes new connections for so long
-constexpr int kSilentCounter = 10;         // time-outs without an answer: the link is taken for dead
-constexpr Duration kCounterBack = 450ms;   // at most until a link comes up again: connect limit and backoff
-constexpr double kIdlePart = 0.8;          // of the servers' idle limit, for which a connection is kept
+// At most until a link to the counter comes up again: connect limit and backoff.
+constexpr Duration kCounterBack = 450ms;
 
 ListUpdate update_of(ListKind kind, std::span<const Entry> entries) {
   ListUpdate u{kind, {}};
@@ -162,7 +159,30 @@
     std::uint32_t open = 0;
   };
 
-  Duration keep() const { return from_seconds(kIdlePart * model_.scenario_.servers.idle_s); }
+  // The servers' share of the descriptors, as src/node/node reckons it. What clients lend or borrow is not modelled.
+  std::size_t most_links() const {
+    const auto own = facts::kOwnDescriptors + facts::kCounterLinks;
+    const auto all = static_cast<double>(std::max<std::uint64_t>(model_.scenario_.fleet.sockets, own + 1) -
+                                         own);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(all * (1 - facts::kClientShare)));
+  }
+  std::size_t open_links() const {
+    std::size_t open = 0;
+    for (const auto& [server, pool] : pools_) open += pool.open;
+    return open;
+  }
+  // Of the connections that idle, the one that has done so for longest goes.
+  bool make_room() {
+    std::pair<const std::uint32_t, Pool>* at = nullptr;
+    for (auto& p : pools_)
+      if (!p.second.idle.empty() && (at == nullptr || p.second.idle.front() < at->second.idle.front()))
+        at = &p;
+    if (at == nullptr) return false;
+    at->second.idle.pop_front(), --at->second.open;
+    model_.world_->closed(node_, at->first);
+    return true;
+  }
+  Duration keep() const { return from_seconds(facts::kIdlePart * model_.scenario_.servers.idle_s); }
 
   template <class What>
   void later(Duration delay, What what) {
@@ -198,6 +218,11 @@
       a.connected = true;
       return deliver(s.request, n);
     }
+    if (open_links() >= most_links() && !make_room()) {
+      a.linked = false;
+      return later({},
+                   [request = s.request, n](Process& p) { p.over(request, n, Outcome::never_sent, false); });
+    }
     const auto met = model_.world_->connect(node_, server);
     if (met != Connect::up) {
       a.linked = false;
@@ -291,7 +316,8 @@
     const auto met = model_.world_->counter_would_connect(node_);
     if (met == Connect::refused || (met == Connect::up && now < counter_up_at_))
       return happened(CountAnswer{s.name, CountOutcome::refused, 0, {}});
-    const bool dead = met == Connect::silent && now - heard_ > kSilentCounter * settings_.counter_timeout;
+    const bool dead = met == Connect::silent &&
+                      now - heard_ > facts::kCounterSilent * settings_.counter_timeout;
     counter_lost_ = counter_lost_ || dead;
     const auto told = std::make_shared<bool>(false);
     later(settings_.counter_timeout, [name = s.name, told, dead](Process& p) {
@@ -392,8 +418,8 @@
 void Model::drain(const std::shared_ptr<Process>& process, Time from) {
   if (process->ended()) return;
   auto& n = nodes_[process->node()];
-  if (n.stalled || !process->idle() || agenda_.now() < from + kNewAfterTerm)
-    return agenda_.after(kDrainLooks, [this, process, from] { drain(process, from); });
+  if (n.stalled || !process->idle() || agenda_.now() < from + facts::kNewAfterTerm)
+    return agenda_.after(facts::kAcceptPause, [this, process, from] { drain(process, from); });
   process->end();
   std::erase(n.leaving, process);
   if (n.serving != process) return;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -148,6 +148,18 @@
   for (const auto& f : model("every-fault").scenario.faults) kinds.insert(f.kind);
   EXPECT_EQ(kinds.size(), static_cast<std::size_t>(world::FaultKind::peers_lossy) + 1);
 }
+TEST(Model, ANodeKeepsToItsBudgetOfDescriptors) {
+  // One node alone with 36 connections for 60 servers: what idles elsewhere goes for each that it opens, and where none
+  // idles the attempt is never sent.
+  const auto served = [](const char* sockets) {
+    return play(model("quiet", 1,
+                      {"fleet.nodes=1", "servers.count=60", "clients.load=0.3", "fleet.seconds=8", sockets}))
+        .figures["figures"]["served"]
+        .get<double>();
+  };
+  EXPECT_LT(served("fleet.sockets=128"), 0.75 * served("fleet.sockets=1024"));
+}
+
 // A client may come to a restarted node before the front takes it in again: what the node was started with counts as told.
 TEST(World, ANodeIsToldItsListWithItsConfigurationAndNotWhenItIsReady) {
   struct Still final : world::Carrier {  // starts nodes, and no more
