Members in the program: the peers' socket, /members, figures, upgrades, and the lab's carriers

Need: the membership of src/fleet had no socket, and the lab's peer network no user.

The model carrier and the process carrier play them ([fleet] members), and views_agreed tells whether all who are up hold just those for living. A view's number of the living reaches the module as FleetView and paces its calls where 'pace' is given. Off: no socket, no timer, nothing allocated.

--- a/include/petrelrail/gateway.hpp
+++ b/include/petrelrail/gateway.hpp
@@ -204,6 +204,12 @@
   std::uint32_t from = 0;
 };
 
+// How many gateways of the fleet are there, this one among them, as far as is known. It changes how often this one calls
+// the counter, never what it holds.
+struct FleetView {
+  std::uint32_t living = 1;
+};
+
 // The operators leave a server out by hand, or put it back. It holds whatever the list says of the server.
 struct LeaveOut {
   ServerId server{};
@@ -249,7 +255,7 @@
 };
 
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage, LeaveOut, Retune, TakeOver>;
+                           CountAnswer, PeerMessage, FleetView, LeaveOut, Retune, TakeOver>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -46,6 +46,7 @@
   void began(Time at);  // the clients
   void log(Time now, std::uint32_t node, const std::string& text);
   const world::Figures& figures() const { return figures_; }
+  void views(double agreed) { figures_.views(agreed); }
   Played finish(Time now, const nlohmann::json& of_the_lab);
 
  private:
--- a/lab/processes.hpp
+++ b/lab/processes.hpp
@@ -29,6 +29,9 @@
   // Looks after processes that have ended, and what they use; to be called now and then.
   void look(bool measure);
   const std::string& crash() const { return crash_; }
+  // Asks every node that is up for its view of the members; views_agreed() tells of the latest answers.
+  void ask_views();
+  double views_agreed() const;
   void started(std::function<void(std::uint32_t, Child::Usage)> used) { used_ = std::move(used); }
 
   void start_node(std::uint32_t node) override;
@@ -98,6 +101,7 @@
   std::unordered_map<world::TryId, std::shared_ptr<FrontLink>> out_;  // requests at nodes
   std::map<std::uint32_t, std::array<char, 2048>> datagrams_;
   std::map<std::uint32_t, asio::ip::udp::endpoint> senders_;
+  std::map<std::uint32_t, nlohmann::json> views_;
   std::string crash_;
   std::uint64_t seeds_ = 0;
   std::function<void(std::uint32_t, Child::Usage)> used_ = [](std::uint32_t, Child::Usage) {};
--- a/lab/scenario_file.cpp
+++ b/lab/scenario_file.cpp
@@ -143,6 +143,7 @@
   r.number("term_s", t.term_s, 0.7, 60);
   r.number("memory_mb", t.memory_mb, 16, 4096);
   r.number("sockets", t.sockets, 128, 65536);
+  r.text("members", t.members, {"off", "on", "pace"});
   r.finish();
 }
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -15,8 +15,8 @@
 // is a fifteenth of the intake, and three times as much while there is trouble. Pushes bring kPushed in each of four slots a
 // round, a little over L/4 in all. A third of L is left for what comes unevenly.
 constexpr double kRoundShare = 30;
-constexpr int kQuick = 3;
-constexpr int kSlots = 4;
+constexpr int kQuick = 4;
+constexpr double kSlots = 4.5;
 constexpr std::uint32_t kPushed = 2;
 constexpr double kTellShare = 15;  // a table's parts at once: L/15
 
@@ -28,8 +28,10 @@
 constexpr std::uint32_t kJump = 16;         // incarnations at once on one other's word
 constexpr std::uint32_t kMostHealth = 8;    // Lifeguard's S
 constexpr std::size_t kWindow = 8;          // whole probes that the standing looks back on
-constexpr double kRefutationRounds = 1.75;  // for each tenfold of the nodes, at least 2 tenfolds
+constexpr double kRefutationRounds = 1.65;  // for each tenfold of the nodes, at least 2 tenfolds
 constexpr double kTroubled = 20;            // one in so many: rounds come quicker
+constexpr int kSilentRounds = 4;            // without a word from one whom few ask
+constexpr std::uint64_t kLooks = 12;        // for whom to push news to
 constexpr std::uint32_t kSubstitutes = 10;  // looked at in place of one that is not there
 constexpr std::uint32_t kFewTries = 2, kMostTries = 6;
 constexpr double kLossGain = 1.0 / 32, kRttGain = 1.0 / 8, kVarGain = 1.0 / 4, kVars = 4;  // RFC 6298
@@ -45,7 +47,7 @@
 
 Duration Terms::round() const { return from_seconds(kRoundShare / in_per_s); }
 Duration Terms::quick() const { return round() / kQuick; }
-Duration Terms::slot() const { return round() / kSlots; }
+Duration Terms::slot() const { return scaled(round(), 1 / kSlots); }
 Duration Terms::refutation() const {
   return scaled(round(), kRefutationRounds * std::max(2.0, std::log10(static_cast<double>(nodes))));
 }
@@ -55,13 +57,14 @@
 }
 Duration Terms::learned_within() const { return 2 * round() + refutation() + round() + copies() * slot(); }
 double Terms::reckoned_intake() const {
-  const double quick_rounds = 1 / seconds(quick());
-  const double asked = quick_rounds;    // each asks each once a round
-  const double answers = quick_rounds;  // to what this node asks
-  const double relays = 0.7 * 0.3 * 3 * quick_rounds *
-                        2;  // seven in ten are silent, three in ten relays there; with answers
+  constexpr double silent = 0.7, there = 1 - silent;
+  const double rounds = 1 / seconds(quick());
+  // Of the probes of those that are left, what meets one that is there: its turn, or half of the turns of silent ones.
+  const double asked = rounds * (there + silent / 2);
+  const double answers = asked;
+  const double relays = rounds * silent / 2 * 2 * there;  // asked for half of the silent ones, two each
   const double pushed = kPushed / seconds(slot());
-  const double tables = (in_per_s / kTellShare + 1) / seconds(4 * round());
+  const double tables = (1 + in_per_s / 2 / kTellShare) / seconds(round());
   return asked + answers + relays + pushed + tables;
 }
 std::uint32_t Terms::most_nodes() { return 4096; }
@@ -218,7 +221,8 @@
 void Members::look_for_trouble(Time now) {
   while (!trouble_.empty() && now - trouble_.front() > 2 * terms_.refutation()) trouble_.pop_front();
   const auto much = std::max(2.0, static_cast<double>(terms_.nodes) / kTroubled);
-  const bool seen = answered_.size() > 1 && !answered_.back() && !answered_[answered_.size() - 2];
+  const bool seen = answered_.size() > 1 && !answered_.back().second &&
+                    !answered_[answered_.size() - 2].second;
   const bool quick = seen || static_cast<double>(suspects_.size() + trouble_.size()) > much;
   if (std::exchange(quick_, quick) != quick) next_round_ = std::min(next_round_, next_round(now));
 }
@@ -237,18 +241,22 @@
   const bool doubted = t.state.rank == Rank::suspect && t.words.size() >= kWords && !terms_.plain;
   if (living(t) && !doubted) return probe(now, target, false);
   if (at(target).state.rank != Rank::left) probe(now, target, true);
-  // Its turn goes to one of whom a word more would decide, or else to one that is there.
+  // Its turn goes to one of whom nothing was heard of late while many are silent, to one of whom a word more would decide,
+  // or else to any that is there.
   const std::uint64_t all = terms_.nodes - 1;
-  std::optional<MemberId> there;
+  std::array<std::optional<MemberId>, 3> others;
   for (std::uint32_t i = 1; i <= kSubstitutes; ++i) {
     const auto other = across(
         distance(stream, round - round % all + (round + i * (all / kSubstitutes + 1)) % all));
     const auto& m = at(other);
-    if (m.state.rank == Rank::suspect && m.words.size() < kWords && !accuses(m))
-      return probe(now, other, false);
-    if (!there && m.state.known() && m.state.rank == Rank::alive) there = other;
+    const bool alive = m.state.known() && m.state.rank == Rank::alive;
+    std::optional<std::size_t> worth;
+    if (alive) worth = quick_ && now - m.heard > kSilentRounds * terms_.round() ? 0 : 2;
+    if (m.state.rank == Rank::suspect && m.words.size() < kWords && !accuses(m)) worth = 1;
+    if (worth && !others[*worth]) others[*worth] = other;
   }
-  if (there) probe(now, *there, false);
+  for (const auto& o : others)
+    if (o) return probe(now, *o, false);
 }
 
 // RFC 6298's time-out, bounded by what a round holds.
@@ -264,10 +272,11 @@
 }
 
 // So many that by chance alone about one probe in as many as there are nodes finds nobody.
-std::uint32_t Members::tries() const {
+std::uint32_t Members::tries(const Probe& p) const {
+  if (quick_ && at(p.target).state.rank == Rank::suspect) return 1;
   const double q = std::clamp(loss_, 0.01, 0.9);
   const auto wanted = std::ceil(std::log(1.0 / terms_.nodes) / std::log(q));
-  return std::clamp(static_cast<std::uint32_t>(wanted), kFewTries, kMostTries);
+  return std::clamp(static_cast<std::uint32_t>(wanted), kFewTries, quick_ ? kFewTries + 1 : kMostTries);
 }
 
 void Members::probe(Time now, MemberId target, bool touch) {
@@ -284,11 +293,12 @@
 void Members::try_again(Time now, Probe& p) {
   p.next_try = now + retry();
   ++p.tries;
-  if (p.tries <= tries()) send(p.target, Ping{news_for(p.target, true)}, p.echo);
+  if (p.tries <= tries(p)) send(p.target, Ping{news_for(p.target, true)}, p.echo);
   // Relays once the second question has come to nothing as well, and others after that.
-  const auto relays = quick_ ? 2 : 2 * kRelays;
+  // Of one who is suspect already a word of its own direct silence will do while many are silent.
+  const auto relays = !quick_ ? 2 * kRelays : at(p.target).state.rank == Rank::suspect ? 0 : 2;
   if (p.tries > kFewTries && p.asked < relays) ask_relays(now, p);
-  if (p.tries > tries() && p.asked >= relays) p.next_try = p.ends;
+  if (p.tries > tries(p) && p.asked >= relays) p.next_try = p.ends;
 }
 
 // Two in zones of neither, as what cuts one zone off from another leaves a third one its ways.
@@ -335,7 +345,7 @@
     // Not a word from anybody meanwhile, not even from those asked to relay: it may be this node that is slow.
     if (heard_ < p.began && p.nacks == 0) figures_.health = std::min(kMostHealth, figures_.health + 1);
   }
-  answered_.push_back(answered);
+  answered_.emplace_back(p.target, answered);
   if (answered_.size() > kWindow) answered_.pop_front();
   if (!answered) accuse(now, p.target);
 }
@@ -356,9 +366,14 @@
   }
   if (known < 2) return Standing::majority;
   const bool silence = now - heard_ > 4 * terms_.round();
-  const auto yes = static_cast<double>(std::ranges::count(answered_, true));
-  if (silence && !answered_.empty() && !answered_.back()) return Standing::alone;
-  const double share = answered_.size() < kWindow / 2 ? 1 : yes / static_cast<double>(answered_.size());
+  // Those that have failed since are not counted among the living: their silence is not counted again.
+  const auto asked = std::ranges::count_if(answered_,
+                                           [&](const auto& a) { return a.second || living(at(a.first)); });
+  const auto yes = std::ranges::count_if(answered_, [](const auto& a) { return a.second; });
+  if (silence && !answered_.empty() && !answered_.back().second) return Standing::alone;
+  const double share = asked < static_cast<std::ptrdiff_t>(kWindow) / 2
+                           ? 1
+                           : static_cast<double>(yes) / static_cast<double>(asked);
   const double reached = 1 + share * (there - 1.0);
   return reached > static_cast<double>(known) / 2 ? Standing::majority : Standing::minority;
 }
@@ -375,15 +390,25 @@
   if (std::ranges::none_of(suspects_, due)) return;
   const auto needed = terms_.plain ? 0 : words_needed(now);
   if (!terms_.plain && standing(now) == Standing::alone) return;
+  bool undecided = false;
   for (const auto id : std::vector<MemberId>(suspects_)) {
     auto& m = at(id);
-    if (!due(id) || !enough(m, needed)) continue;
+    if (!due(id)) continue;
+    if (!enough(m, needed)) {
+      undecided = true;
+      continue;
+    }
     ++figures_.failures;
     trouble_.push_back(now);
     // Most hear of enough accusers: that it has failed is told last, and to few.
     const auto sent = terms_.plain || m.words.size() < kWords ? 0 : terms_.copies() - kPushed;
     become(now, id, {m.state.incarnation, Rank::failed, m.state.life}, m.zone, true, sent);
   }
+  // Others may have heard what is missing here.
+  if (!undecided || terms_.plain) return;
+  fruitful_ = true;
+  const auto other = MemberId(static_cast<std::uint16_t>(draw(terms_.nodes)));
+  if (other != self_.id && at(other).state.known() && at(other).state.rank == Rank::alive) sync(now, other);
 }
 
 void Members::accuse(Time now, MemberId id) {
@@ -540,6 +565,7 @@
 void Members::heard(Time now, MemberId from, const Header& h) {
   heard_ = now;
   zone_heard_[h.zone] = now;
+  at(from).heard = now;
   const State s{h.incarnation, Rank::alive, h.life};
   apply(now, {from, s, h.zone, {}}, from, true);
 }
@@ -645,6 +671,10 @@
   std::vector<Entry> told;
   auto room = static_cast<std::ptrdiff_t>(room_for_news(terms_.key.has_value()));
   const auto& m = at(to);
+  if (leaving_) {
+    told.push_back(entry_of(self_.id));
+    room -= static_cast<std::ptrdiff_t>(entry_bytes(told.back()));
+  }
   if (m.state.known() && (m.state.rank != Rank::alive || m.state.incarnation > 1) && !terms_.plain) {
     auto e = entry_of(to);
     const bool held = e.state.rank != Rank::alive;
@@ -671,10 +701,10 @@
   pushed_at_ = now;
   const auto slot = static_cast<std::uint64_t>(now.time_since_epoch() / terms_.slot());
   std::vector<MemberId> chosen;
-  for (std::uint64_t i = 0; chosen.size() < kPushed && i < 6ULL * kPushed; ++i) {
-    const auto to = across(distance(Stream::push, kPushed * slot + i));
+  for (std::uint64_t i = 0; chosen.size() < kPushed && i < kLooks; ++i) {
+    const auto to = across(distance(Stream::push, kLooks * slot + i));
     const auto& m = at(to);
-    if (m.state.known() && m.state.rank >= (i < 3ULL * kPushed ? Rank::suspect : Rank::failed)) continue;
+    if (m.state.known() && m.state.rank >= (i < kLooks / 2 ? Rank::suspect : Rank::failed)) continue;
     if (std::ranges::find(chosen, to) == chosen.end()) chosen.push_back(to);
   }
   for (const auto to : chosen)
@@ -720,7 +750,9 @@
 
 void Members::tell(Time, MemberId to, const SyncAsk& ask) {
   if (ask.digests.size() != buckets_.size()) return drop(Drop::malformed);
-  auto most = std::max<std::size_t>(1, static_cast<std::size_t>(terms_.in_per_s / kTellShare));
+  // While there is much news it comes by itself; tables mend what it leaves out.
+  auto most = std::max<std::size_t>(
+      1, static_cast<std::size_t>(terms_.in_per_s / (quick_ ? 2 : 1) / kTellShare));
   const auto offset = draw(buckets_.size());
   SyncTell body;
   auto room = room_for_news(terms_.key.has_value());
--- a/src/fleet/members.hpp
+++ b/src/fleet/members.hpp
@@ -121,6 +121,8 @@
   std::vector<Verdict> take_verdicts() { return std::exchange(verdicts_, {}); }
 
   std::shared_ptr<const View> view(Time now) const;
+  // Rises with every change that a view shows, but for its standing.
+  std::uint64_t changes() const { return version_; }
   const Figures& figures() const { return figures_; }
   // What a successor in the same member's place begins with.
   Self self() const { return self_; }
@@ -134,7 +136,7 @@
     std::uint8_t zone = 0;
     std::vector<MemberId> words;     // of those who accuse it
     std::vector<MemberId> verdicts;  // of these, of those to whom it has failed
-    Time suspected{}, since{}, settled{};
+    Time suspected{}, since{}, settled{}, heard{};
     double returns = 0;  // of late
     Time returned{};
     std::vector<std::pair<MemberId, State>> hearsay;  // told by others and not taken yet
@@ -183,7 +185,7 @@
   void concluded(Time now, const Probe& p, bool answered);
   Duration patience() const;
   Duration retry() const;
-  std::uint32_t tries() const;
+  std::uint32_t tries(const Probe& p) const;
   void look_for_trouble(Time now);
   void overslept(Time now, Duration late);
 
@@ -233,7 +235,7 @@
   std::vector<Datagram> out_;
   std::vector<Verdict> verdicts_;
   Figures figures_;
-  std::deque<bool> answered_;  // of the latest whole probes
+  std::deque<std::pair<MemberId, bool>> answered_;  // of the latest whole probes
   std::deque<Time> trouble_;   // failures and returns of late
   std::vector<Time> zone_heard_;
   std::uint32_t echoes_;
@@ -246,7 +248,6 @@
   std::uint32_t clashes_ = 0;
   Time conflict_until_{};
   std::uint64_t version_ = 0;
-  mutable std::shared_ptr<const View> view_;
 };
 
 }  // namespace petrelrail::fleet
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1196,6 +1196,7 @@
   }
 
   void on(const PeerMessage&) {}
+  void on(const FleetView& e) { book_.pace.fleet = std::clamp(e.living, 1u, set_.fleet_size); }
 
   // Requests that wait for a place go first come, first served.
   void serve_parked() {
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -79,8 +79,16 @@
     if (!owner.leave_out(*who, disables)) return plain(http::status::not_found, "no such price server\n");
     return plain(http::status::ok, disables ? "disabled\n" : "enabled\n");
   }
-  if (path != "/ready" && path != "/metrics") return plain(http::status::not_found, "no such path\n");
+  if (path != "/ready" && path != "/metrics" && path != "/members")
+    return plain(http::status::not_found, "no such path\n");
   if (call.method() != http::verb::get) return not_by(http::verb::get);
+  if (path == "/members") {
+    auto view = owner.members();
+    if (!view) return plain(http::status::not_found, "members are off\n");
+    auto r = plain(http::status::ok, std::move(*view));
+    r.set(http::field::content_type, "application/json");
+    return r;
+  }
   if (path == "/metrics") return plain(http::status::ok, owner.figures());
   return owner.serves() ? plain(http::status::ok, "ready\n")
                         : plain(http::status::service_unavailable, "not ready\n");
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net.hpp"
@@ -16,6 +17,8 @@
   struct Owner {
     virtual bool serves() = 0;
     virtual std::string figures() = 0;
+    // The other edge nodes, as JSON; none: members are off.
+    virtual std::optional<std::string> members() = 0;
     // Leaves a price server out, or lets it serve again; false: no list has ever named it.
     virtual bool leave_out(const std::string& server, bool out) = 0;
 
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -61,6 +61,9 @@
 inline constexpr Duration kLongestBackoff = 1s;            //
 inline constexpr Duration kConnectLimit = 1s;              // for a connection to discovery to come up
 
+// ---- Other edge nodes --------------------------------------------------------------------------------
+inline constexpr std::size_t kDatagramsAtOnce = 128;  // two seconds of what the settings let come
+
 // ---- The process -----------------------------------------------------------------------------------------
 inline constexpr int kBadInput = 2;  // exit status of --check, and after a command line that can't be read
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -35,6 +35,7 @@
 // Where the configuration is: a file named on the command line, or GW_CONFIG.
 struct Source {
   std::string file;
+  std::string members = "off";
   std::string path() const { return file.empty() ? variable("GW_CONFIG") : file; }
   std::string named() const { return file.empty() ? "variable GW_CONFIG: " : "--config: "; }
 };
@@ -54,6 +55,70 @@
   }
 }
 
+// What of members is on, as words with commas between: "off", "on" (a view, nothing more), or what the view is used for
+// besides: "pace" (the counter is called by the number of the living).
+struct MembersWords {
+  bool on = false, pace = false;
+};
+MembersWords members_words(const std::string& words, const char* key) {
+  MembersWords m;
+  std::istringstream text(words);
+  for (std::string word; std::getline(text, word, ',');) {
+    if (word != "off" && word != "on" && word != "pace") wrong(key, "off, on or pace");
+    m.on = m.on || word != "off";
+    m.pace = m.pace || word == "pace";
+  }
+  return m;
+}
+
+Udp::endpoint peer_address(const std::string& value, const char* name) {
+  const auto at = address(value, name);
+  return {at.address(), at.port()};
+}
+
+// The command line says whether members are on; `members` in the configuration, where it is there, says it instead, and
+// may hold the key that seals datagrams. Where the settings allow no messages between nodes members stay off.
+std::optional<PeersConfig> read_peers(const json& config, const json& settings,
+                                      const reading::NamedSettings& named, const std::string& words) {
+  auto use = members_words(words, "--members");
+  std::optional<fleet::Key> key;
+  if (const auto* m = optional_field(config, "members")) {
+    object_of(*m, "members");
+    if (const auto* on = optional_field(*m, "use"))
+      use = members_words(text_of(*on, "members.use"), "members.use");
+    if (const auto* hex = optional_field(*m, "key")) {
+      try {
+        key = fleet::key_of(text_of(*hex, "members.key"));
+      } catch (const std::invalid_argument& x) {
+        wrong("members.key", x.what());
+      }
+    }
+  }
+  if (!use.on || !truth(object_of(field(settings, "ceilings"), "ceilings"), "peer-messages"))
+    return std::nullopt;
+  const auto& s = named.settings;
+  PeersConfig p;
+  p.listen = peer_address(text(config, "peer_listen"), "peer_listen");
+  for (const auto& at : list_of(field(config, "peers"), "peers"))
+    p.addresses.push_back(peer_address(text_of(at, "peers"), "peers"));
+  if (p.addresses.size() != s.fleet_size) wrong("peers", "an address for each node of the settings");
+  p.terms.nodes = s.fleet_size;
+  p.terms.in_per_s = number(object_of(field(settings, "extra"), "extra"), "inbox-per-s");
+  p.terms.key = key;
+  p.index = s.index;
+  p.paces = use.pace;
+  p.zones.resize(named.names.zones.size());
+  for (const auto& [name, number] : named.names.zones) p.zones.at(number) = name;
+  if (p.zones.size() > fleet::kZones) wrong("zones", "a list that members can tell");
+  p.zone = static_cast<std::uint8_t>(s.zone);
+  try {
+    fleet::validate(p.terms);
+  } catch (const std::invalid_argument& x) {
+    throw FieldError(std::string("field 'members': ") + x.what());
+  }
+  return p;
+}
+
 Configuration read_config(const Source& source, const json* in_force = nullptr) {
   const auto path = source.path();
   std::ifstream file(path);
@@ -82,6 +147,7 @@
   if (const char* folder = std::getenv("TMPDIR"); folder != nullptr && *folder != '\0')
     c.handover = std::string(folder) + "/petrelrail-" + text(config, "listen") + ".sock";
   validate(c.named.settings);
+  c.peers = read_peers(config, settings, c.named, source.members);
   return {std::move(config), std::move(c)};
 }
 
@@ -102,6 +168,11 @@
   text << "\n  descriptors " << n.descriptors << ", attempts a request " << s.max_attempts << ", probes "
        << (s.probes ? "on" : "off") << ", a successor " << (n.handover.empty() ? "can't come" : "may come")
        << '\n';
+  text << "  members " << (n.peers ? "on" : "off");
+  if (n.peers)
+    text << " at " << n.peers->listen << (n.peers->terms.key ? ", sealed" : "")
+         << (n.peers->paces ? ", pace the counter" : "");
+  text << '\n';
   for (const auto& k : s.classes)
     text << "  class " << k.name << ": aim " << seconds(k.aim) << " s, deadline " << seconds(k.deadline)
          << " s\n";
@@ -195,6 +266,11 @@
       ->envname("GW_LOG")
       ->check(CLI::IsMember({"text", "json"}))
       ->capture_default_str();
+  app.add_option(
+         "--members", source.members,
+         "off, on, or uses of the members' view with commas between (pace); else what GW_MEMBERS says")
+      ->envname("GW_MEMBERS")
+      ->capture_default_str();
   app.add_flag("--check", only_check,
                "read the configuration, say what it would do or which field is wrong: exit 0 or 2");
   try {
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -16,6 +16,10 @@
   return text;
 }
 
+std::uint64_t milliseconds(Duration d) {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 }  // namespace
 
 std::string Metrics::text(const Gauges& now) const {
@@ -52,6 +56,48 @@
   single("pool_failed_connects", "counter", now.pool.failed_connects);
   single("log_lines", "counter", now.log.lines);
   single("log_dropped", "counter", now.log.dropped);
+  if (now.peers != nullptr) {
+    const auto view = now.peers->view();
+    const auto& f = now.peers->figures();
+    family("members", "gauge");
+    const auto state = [&](const char* name, std::uint64_t value) {
+      text.append("node_members{state=\"")
+          .append(name)
+          .append("\"} ")
+          .append(std::to_string(value))
+          .append("\n");
+    };
+    state("living", view->living), state("suspect", view->suspects), state("failed", view->failed);
+    state("left", view->left), state("unknown", view->unknown);
+    single("members_standing", "gauge", static_cast<std::uint64_t>(view->standing));
+    single("members_view_version", "counter", view->version);
+    single("members_view_age_ms", "gauge", milliseconds(now.at - view->since));
+    single("members_view_stale_ms", "gauge", milliseconds(view->stale(now.at)));
+    single("members_health", "gauge", f.health);
+    single("members_rounds", "counter", f.rounds);
+    single("members_probes", "counter", f.probes);
+    single("members_probes_failed", "counter", f.probes_failed);
+    single("members_relayed", "counter", f.relayed);
+    single("members_tables_asked", "counter", f.syncs);
+    single("members_datagrams_in", "counter", f.datagrams_in);
+    single("members_datagrams_out", "counter", f.datagrams_out);
+    single("members_bytes_in", "counter", f.bytes_in);
+    single("members_bytes_out", "counter", f.bytes_out);
+    single("members_unsent", "counter", now.peers->unsent());
+    family("members_drops", "counter");
+    for (std::size_t i = 0; i < f.drops.size(); ++i)
+      text.append("node_members_drops{cause=\"")
+          .append(fleet::Members::name_of(static_cast<fleet::Members::Drop>(i)))
+          .append("\"} ")
+          .append(std::to_string(f.drops[i]))
+          .append("\n");
+    single("members_refutations", "counter", f.refutations);
+    single("members_suspicions", "counter", f.suspicions);
+    single("members_failures", "counter", f.failures);
+    single("members_returns", "counter", f.returns);
+    single("members_stalls", "counter", f.stalls);
+    single("members_conflicts", "counter", f.conflicts);
+  }
   single("reload_success", "counter", reload_success_);
   single("reload_failure", "counter", reload_failure_);
   return text;
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "log.hpp"
+#include "peers.hpp"
 #include "pool.hpp"
 
 namespace petrelrail {
@@ -20,6 +21,8 @@
     std::size_t concurrent = 0, targets = 0, targets_disabled = 0, sessions = 0;
     PoolFigures pool{};
     log::Figures log{};
+    Time at{};
+    const Peers* peers = nullptr;  // none: members are off
   };
 
   // Kept for the life of the process, also when the class is dropped.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 std::size_t for_peers(const NodeConfig& c) {
-  const auto own = facts::kOwnDescriptors + facts::kCounterLinks;
+  const auto own = facts::kOwnDescriptors + facts::kCounterLinks + (c.peers ? 1 : 0);
   return c.descriptors > own ? c.descriptors - own : 1;
 }
 std::size_t for_clients(const NodeConfig& c) {
@@ -34,6 +34,9 @@
       handover_(io, timers_, config_.handover, *this) {
   for (const auto& c : config_.named.settings.classes) metrics_.replies(c.name);
   if (config_.counter && config_.named.settings.counter) counter_ = new_counter();
+  if (config_.peers)
+    peers_ = std::make_unique<Peers>(io_, timers_, *config_.peers, config_.seed,
+                                     static_cast<Peers::Owner&>(*this));
 }
 
 std::unique_ptr<Counter> Node::new_counter() {
@@ -58,6 +61,17 @@
   }
   serves_ = true;
   handover_.offer();
+  join({});
+}
+
+// Without its own address among the nodes a process serves all the same; it only knows of nobody.
+void Node::join(const std::optional<fleet::Self>& predecessor) {
+  if (!peers_) return;
+  try {
+    peers_->start(predecessor);
+  } catch (const boost::system::system_error& x) {
+    log::warning("members", "field 'peer_listen': " + x.code().message());
+  }
 }
 
 // With what was handed over, if anything; a predecessor that hands nothing over may hold the address yet.
@@ -92,6 +106,10 @@
   succeeded_ = true;
   clients_.retire();
   upstream_.keep(false);
+  if (peers_) {
+    state["member"] = to_json(peers_->self());
+    peers_->stop();
+  }
   state["sessions"] = clients_.size(), state["connections"] = upstream_.size();
   log::info("handover", "a successor takes over");
   return state;
@@ -109,6 +127,7 @@
   }
   happened(TakeOver{std::move(s)});
   limit_descriptors(state.at("sessions"), state.at("connections"));
+  if (const auto it = state.find("member"); peers_ && it != state.end()) join(self_of(*it, peers_->self()));
   log::info("handover", "taken over from a predecessor");
   serve();
 }
@@ -163,6 +182,7 @@
   gateway_.resume();
   clients_.resume();
   handover_.offer();
+  join({});
 }
 
 void Node::reconfigure(const NodeConfig& config) {
@@ -211,6 +231,7 @@
 void Node::drain(std::function<void()> done) {
   drained_ = std::move(done);
   clients_.drain();
+  if (peers_ && !succeeded_) peers_->leave();
   wait_until_drained();
 }
 
@@ -343,7 +364,18 @@
 
 std::string Node::figures() {
   const auto servers = gateway_.servers(timers_.now());
-  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(), log::figures()});
+  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(),
+                        log::figures(), timers_.now(), peers_ && peers_->started() ? peers_.get() : nullptr});
+}
+
+std::optional<std::string> Node::members() {
+  if (!peers_ || !peers_->started()) return std::nullopt;
+  return peers_->described().dump() + "\n";
+}
+
+// The number of the living may slow or quicken this node's calls. It says nothing of anybody's units.
+void Node::view_changed(const fleet::View& view) {
+  if (config_.peers->paces) happened(FleetView{view.living});
 }
 
 bool Node::leave_out(const std::string& server, bool out) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -16,6 +16,7 @@
 #include "handover.hpp"
 #include "metrics.hpp"
 #include "net.hpp"
+#include "peers.hpp"
 #include "petrelrail/gateway.hpp"
 #include "settings_reader.hpp"
 #include "upstream.hpp"
@@ -33,12 +34,14 @@
   std::string handover;  // the path of the socket on which a successor calls; empty: none can
   nlohmann::json known;
   reading::NamedSettings named;
+  std::optional<PeersConfig> peers;  // none: members are off
 };
 
 class Node : private Clients::Owner,
              private Upstream::Owner,
              private Control::Owner,
-             private Handover::Owner {
+             private Handover::Owner,
+             private Peers::Owner {
  public:
   Node(asio::io_context& io, NodeConfig config);
 
@@ -85,6 +88,8 @@
   void state_came(const nlohmann::json& state) override;
   void told_by_peer(const nlohmann::json& message) override;
   void peer_lost() override;
+  void view_changed(const fleet::View& view) override;
+  std::optional<std::string> members() override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
@@ -106,6 +111,7 @@
   void ask_when_ready();
   void serve();
   void serve_in_any_case();
+  void join(const std::optional<fleet::Self>& predecessor);
   void wait_until_drained();
   void limit_descriptors(std::size_t taken_by_clients, std::size_t taken_by_servers);
   std::unique_ptr<Counter> new_counter();
@@ -137,6 +143,7 @@
   Clients clients_;
   Control control_;
   Handover handover_;
+  std::unique_ptr<Peers> peers_;
   Descriptor inherited_;    // the listening socket, until this process serves
   bool serves_ = false;     // clients' connections are accepted here
   bool succeeded_ = false;  // a successor accepts them
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,184 @@
+#include "peers.hpp"
+
+#include <stdexcept>
+
+#include "facts.hpp"
+#include "helpers.hpp"
+
+namespace petrelrail {
+namespace {
+
+double ago(Time now, Time then) { return then == Time{} ? -1.0 : seconds(now - then); }
+
+}  // namespace
+
+nlohmann::json to_json(const fleet::Self& s) { return {{"life", s.life}, {"incarnation", s.incarnation}}; }
+
+fleet::Self self_of(const nlohmann::json& j, fleet::Self self) {
+  self.life = j.at("life").get<std::uint16_t>();
+  self.incarnation = j.at("incarnation").get<std::uint32_t>();
+  if (self.incarnation == 0) throw std::runtime_error("a member without an incarnation");
+  return self;
+}
+
+Peers::Peers(asio::io_context& io, Timers& timers, const PeersConfig& config, std::uint64_t seed,
+             Owner& owner)
+    : timers_(timers), config_(config), owner_(owner), seed_(mix(seed)), socket_(io.get_executor()) {
+  fleet::validate(config_.terms);
+  self_.id = fleet::MemberId(static_cast<std::uint16_t>(config_.index));
+  self_.zone = config_.zone;
+  self_.life = static_cast<std::uint16_t>(mix(seed_));
+  for (std::size_t i = 0; i < config_.addresses.size(); ++i)
+    known_.emplace(config_.addresses[i], fleet::MemberId(static_cast<std::uint16_t>(i)));
+}
+
+Peers::~Peers() { stop(); }
+
+void Peers::start(const std::optional<fleet::Self>& predecessor) {
+  if (started()) return;
+  socket_.open(config_.listen.protocol());
+  socket_.set_option(asio::socket_base::reuse_address(true));
+  try {
+    socket_.bind(config_.listen);
+  } catch (const boost::system::system_error&) {
+    error_code ignored;
+    socket_.close(ignored);
+    throw;
+  }
+  socket_.non_blocking(true);
+  if (predecessor)
+    self_ = *predecessor;
+  else if (members_)
+    self_ = members_->self();  // it goes on after a successor that has ended
+  members_ = std::make_unique<fleet::Members>(config_.terms, self_, seed_);
+  told_version_ = 0;
+  members_->start(timers_.now());
+  receive();
+  act();
+}
+
+void Peers::leave() {
+  if (!started()) return;
+  members_->leave(timers_.now());
+  act();
+}
+
+void Peers::stop() {
+  timers_.cancel(due_);
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void Peers::receive() {
+  socket_.async_receive_from(asio::buffer(space_), sender_,
+                             [this](const error_code& failed, std::size_t bytes) {
+                               if (failed == asio::error::operation_aborted || !started()) return;
+                               // A datagram to one that is gone may come back as an error: it says nothing of this socket.
+                               if (!failed) {
+                                 took(bytes);
+                                 drain();
+                                 act();
+                               }
+                               receive();
+                             });
+}
+
+// What waits in the socket comes before anybody is judged for not having answered. Bounded, as others may send for ever.
+void Peers::drain() {
+  for (std::size_t i = 0; i < facts::kDatagramsAtOnce; ++i) {
+    error_code none;
+    const auto bytes = socket_.receive_from(asio::buffer(space_), sender_, 0, none);
+    if (none) return;
+    took(bytes);
+  }
+}
+
+void Peers::took(std::size_t bytes) {
+  const auto it = known_.find(sender_);
+  if (it == known_.end()) return members_->stranger();
+  members_->received(timers_.now(), it->second, {space_.data(), bytes});
+}
+
+void Peers::tick() {
+  drain();
+  if (const Time now = timers_.now(); members_->next() <= now) members_->tick(now);
+  act();
+}
+
+void Peers::act() {
+  for (const auto& d : members_->take_datagrams()) {
+    error_code failed;
+    socket_.send_to(asio::buffer(d.bytes), config_.addresses[fleet::index_of(d.to)], 0, failed);
+    if (failed) ++unsent_;
+  }
+  for (const auto& v : members_->take_verdicts()) tell(v);
+  timers_.cancel(due_);
+  due_ = timers_.at(members_->next(), [this] {
+    due_.reset();
+    tick();
+  });
+  if (members_->changes() == told_version_) return;
+  told_version_ = members_->changes();
+  const auto v = view();
+  if (std::exchange(standing_, v->standing) != v->standing)
+    log::warning("members", std::string("this node reaches ") + fleet::name_of(v->standing),
+                 {{"living", std::to_string(v->living)}, {"failed", std::to_string(v->failed)}});
+  if (const bool c = members_->conflicted(timers_.now()); std::exchange(conflicted_, c) != c && c)
+    log::warning("members", "another process goes by this node's name");
+  owner_.view_changed(*v);
+}
+
+void Peers::tell(const fleet::Verdict& v) {
+  const auto who = std::to_string(fleet::index_of(v.about));
+  const auto incarnation = std::to_string(v.incarnation);
+  switch (v.rank) {
+    case fleet::Rank::suspect:
+      return log::info("members", "member " + who + " is suspect", {{"incarnation", incarnation}});
+    case fleet::Rank::failed:
+      return log::warning("members", "member " + who + " has failed", {{"incarnation", incarnation}});
+    case fleet::Rank::left:
+      return log::info("members", "member " + who + " has left", {{"incarnation", incarnation}});
+    case fleet::Rank::alive:
+      return log::info("members", "member " + who + (v.returned ? " is back" : " is there"),
+                       {{"incarnation", incarnation}});
+  }
+}
+
+nlohmann::json Peers::described() const {
+  const Time now = timers_.now();
+  const auto v = view();
+  const auto rounded = [](double s) { return static_cast<double>(static_cast<std::int64_t>(s * 1e3)) / 1e3; };
+  nlohmann::json members = nlohmann::json::array(), zones = nlohmann::json::array();
+  for (std::size_t i = 0; i < v->seats->size(); ++i) {
+    const auto& s = (*v->seats)[i];
+    nlohmann::json m = {{"number", i}, {"state", s.state.known() ? fleet::name_of(s.state.rank) : "unknown"}};
+    if (s.state.known()) {
+      m["incarnation"] = s.state.incarnation;
+      m["zone"] = s.zone < config_.zones.size() ? config_.zones[s.zone] : std::to_string(s.zone);
+      m["since_s"] = rounded(ago(now, s.since));
+      if (!s.settled) m["settled"] = false;
+    }
+    members.push_back(std::move(m));
+  }
+  for (std::size_t z = 0; z < v->zones.size(); ++z)
+    zones.push_back({{"zone", z < config_.zones.size() ? config_.zones[z] : std::to_string(z)},
+                     {"known", v->zones[z].known},
+                     {"living", v->zones[z].living},
+                     {"heard_s", rounded(ago(now, v->zones[z].heard))}});
+  return {{"self", config_.index},
+          {"incarnation", members_->self().incarnation},
+          {"standing", fleet::name_of(v->standing)},
+          {"version", v->version},
+          {"age_s", rounded(ago(now, v->since))},
+          {"stale_s", rounded(seconds(v->stale(now)))},
+          {"living", v->living},
+          {"suspect", v->suspects},
+          {"failed", v->failed},
+          {"left", v->left},
+          {"unknown", v->unknown},
+          {"health", figures().health},
+          {"zones", std::move(zones)},
+          {"members", std::move(members)}};
+}
+
+}  // namespace petrelrail
--- /dev/null
+++ b/src/node/peers.hpp
@@ -0,0 +1,91 @@
+// The datagrams to and from the other edge nodes: one UDP socket, the timer of src/fleet/members, and what comes of both. What
+// is decided is decided there. PROTOCOL, "Between edge nodes".
+#pragma once
+
+#include <array>
+#include <boost/asio/basic_datagram_socket.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/members.hpp"
+#include "net.hpp"
+
+namespace petrelrail {
+
+using Udp = asio::ip::udp;
+
+struct PeersConfig {
+  Udp::endpoint listen;
+  std::vector<Udp::endpoint> addresses;  // of every node by its number, this one's included
+  fleet::Terms terms;
+  std::uint8_t zone = 0;
+  std::vector<std::string> zones;  // names, by number
+  std::uint32_t index = 0;
+  bool paces = false;  // the counter is called by the number of the living
+};
+
+// What a successor needs to be the same member, as it passes between two processes.
+nlohmann::json to_json(const fleet::Self& s);
+// Throws if it can't be read.
+fleet::Self self_of(const nlohmann::json& j, fleet::Self self);
+
+class Peers {
+ public:
+  struct Owner {
+    virtual void view_changed(const fleet::View& view) = 0;
+
+   protected:
+    ~Owner() = default;
+  };
+
+  Peers(asio::io_context& io, Timers& timers, const PeersConfig& config, std::uint64_t seed, Owner& owner);
+  ~Peers();
+  Peers(const Peers&) = delete;
+  Peers& operator=(const Peers&) = delete;
+
+  // Binds the address: throws boost::system::system_error where that can't be. With the state of a predecessor, if there
+  // is one, whose member this process goes on being.
+  void start(const std::optional<fleet::Self>& predecessor);
+  // Says that this node leaves; it goes on telling until the process ends.
+  void leave();
+  // Lets the address go, for a successor.
+  void stop();
+  bool started() const { return socket_.is_open(); }
+
+  fleet::Self self() const { return members_ ? members_->self() : self_; }
+  std::shared_ptr<const fleet::View> view() const { return members_->view(timers_.now()); }
+  const fleet::Members::Figures& figures() const { return members_->figures(); }
+  // The view for the operators.
+  nlohmann::json described() const;
+  std::uint64_t unsent() const { return unsent_; }
+
+ private:
+  void receive();
+  void drain();
+  void took(std::size_t bytes);
+  void tick();
+  void act();
+  void tell(const fleet::Verdict& v);
+
+  Timers& timers_;
+  const PeersConfig config_;
+  Owner& owner_;
+  fleet::Self self_;
+  std::uint64_t seed_;
+  std::unique_ptr<fleet::Members> members_;  // none: not started yet
+  std::map<Udp::endpoint, fleet::MemberId> known_;
+  asio::basic_datagram_socket<Udp, Executor> socket_;
+  std::array<std::uint8_t, 2 * fleet::kMostBytes> space_{};
+  Udp::endpoint sender_;
+  Timers::Handle due_;
+  std::uint64_t told_version_ = 0, unsent_ = 0;
+  fleet::Standing standing_ = fleet::Standing::majority;
+  bool conflicted_ = false;
+};
+
+}  // namespace petrelrail
--- a/src/world/figures.cpp
+++ b/src/world/figures.cpp
@@ -229,6 +229,7 @@
                         "attempts_per_try",
                         "bytes_per_try",
                         "most_datagrams_in",
+                        "views_agreed",
                         "cpu_us_per_try",
                         "memory_mb"})
     names.emplace_back(n);
@@ -304,6 +305,7 @@
   if (name == "handshakes_per_try") return share(n(Count::handshakes), n(Count::tries));
   if (name == "attempts_per_try") return share(n(Count::attempts), n(Count::tries));
   if (name == "bytes_per_try") return share(n(Count::datagram_bytes), n(Count::asked));
+  if (name == "views_agreed") return views_agreed_;
   if (name == "most_datagrams_in") return static_cast<double>(most_in_);
   if (name == "cpu_us_per_try") return 1e6 * share(spent().cpu_s, static_cast<double>(total()[Count::tries]));
   if (name == "memory_mb") return spent().memory_mb;
--- a/src/world/figures.hpp
+++ b/src/world/figures.hpp
@@ -79,6 +79,8 @@
     double cpu_s = 0, memory_mb = 0;
   };
   Spent spent() const;
+  // Of the nodes that are up at the end, how many hold just those for living that are up. Members off: all.
+  void views(double agreed) { views_agreed_ = agreed; }
   // The most that came to one node, and to the counter, within any second of the clock.
   std::uint64_t most_datagrams_in() const { return most_in_; }
 
@@ -127,6 +129,7 @@
   std::map<std::uint32_t, Spent> spent_, before_;
   std::map<std::uint32_t, std::pair<std::size_t, std::uint64_t>> in_;  // the last second and what came in it
   std::uint64_t most_in_ = 0;
+  double views_agreed_ = 1;
 };
 
 }  // namespace petrelrail::world
--- a/src/world/member_cases.cpp
+++ b/src/world/member_cases.cpp
@@ -23,7 +23,8 @@
         dice_(Dice(mix(terms.seed)).stream("case")),
         fleet_(options(terms),
                [this](Time at, std::uint32_t by, const fleet::Verdict& v) { saw(at, by, v); }),
-        shaky_(terms.nodes) {}
+        shaky_(terms.nodes),
+        from_(fleet_.now()) {}
 
   MemberFleet& fleet() { return fleet_; }
   Dice& dice() { return dice_; }
@@ -87,7 +88,7 @@
   std::vector<bool> shaky_;
   CaseFigures figures_;
   std::optional<std::uint32_t> victim_;
-  Time watched_from_{}, from_{};
+  Time watched_from_{}, from_;
   std::uint64_t wrong_ = 0, wrong_healthy_ = 0, suspicions_ = 0;
 };
 
--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "configuration.hpp"
+#include "fleet/members.hpp"
 #include "helpers.hpp"
 #include "node/facts.hpp"
 
@@ -126,6 +127,38 @@
     open_.clear(), pools_.clear();
   }
 
+  // As src/node/peers: the member of this node, with the state of a predecessor if there is one.
+  void join(const std::optional<fleet::Self>& predecessor) {
+    const auto& s = model_.scenario_;
+    if (s.fleet.members == "off" || s.fleet.nodes < 2) return;
+    fleet::Self self{fleet::MemberId(static_cast<std::uint16_t>(node_)),
+                     static_cast<std::uint8_t>(settings_.zone), static_cast<std::uint16_t>(mix(dice_.seed())),
+                     1};
+    fleet::Terms terms;
+    terms.nodes = s.fleet.nodes, terms.in_per_s = s.peers.in_per_s;
+    members_ = std::make_unique<fleet::Members>(terms, predecessor.value_or(self), dice_.seed());
+    members_->start(model_.agenda_.now());
+    act();
+  }
+  std::optional<fleet::Self> leave_member() {
+    if (!members_) return std::nullopt;
+    const auto self = members_->self();
+    members_.reset();
+    return self;
+  }
+  void peer_said(std::uint32_t from, const std::string& payload) {
+    if (!members_ || ended_) return;
+    members_->received(model_.agenda_.now(), fleet::MemberId(static_cast<std::uint16_t>(from)),
+                       {reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size()});
+    act();
+  }
+  void leaves() {
+    if (!members_) return;
+    members_->leave(model_.agenda_.now());
+    act();
+  }
+  const fleet::Members* members() const { return members_.get(); }
+
   void retune(std::uint32_t max_attempts) {
     auto next = std::make_shared<Settings>(
         reading::read_settings(settings_of(model_.scenario_, node_, max_attempts)).settings);
@@ -182,6 +215,27 @@
     model_.world_->closed(node_, at->first);
     return true;
   }
+  // What the member has to say goes out, and it is ticked when it asks to be.
+  void act() {
+    const Time now = model_.agenda_.now();
+    for (auto& d : members_->take_datagrams())
+      model_.world_->datagram(node_, static_cast<std::uint32_t>(d.to), std::move(d.bytes));
+    for (const auto& v : members_->take_verdicts())
+      model_.logged_(now, node_,
+                     "member " + std::to_string(fleet::index_of(v.about)) + " is " + fleet::name_of(v.rank));
+    if (members_->next() != ticks_at_ && members_->next() != Time::max()) {
+      ticks_at_ = members_->next();
+      later(std::max(ticks_at_ - now, Duration{}), [due = ticks_at_](Process& p) {
+        if (!p.members_ || p.ticks_at_ != due) return;
+        p.ticks_at_ = Time{};
+        p.members_->tick(p.model_.agenda_.now());
+        p.act();
+      });
+    }
+    if (model_.scenario_.fleet.members != "pace" || members_->changes() == told_version_) return;
+    told_version_ = members_->changes();
+    happened(FleetView{members_->view(now)->living});
+  }
   Duration keep() const { return from_seconds(facts::kIdlePart * model_.scenario_.servers.idle_s); }
 
   template <class What>
@@ -368,6 +422,9 @@
   std::map<RequestId, Open> open_;
   std::map<std::uint32_t, Pool> pools_;
   std::deque<Event> events_;
+  std::unique_ptr<fleet::Members> members_;
+  Time ticks_at_{};
+  std::uint64_t told_version_ = 0;
   bool telling_ = false, ended_ = false, counter_lost_ = false;
   Time heard_, counter_up_at_{};
 };
@@ -402,6 +459,7 @@
     std::vector<Entry> known;
     for (const auto& [number, e] : world_->list(node).entries) known.push_back(e);
     n.serving->happened(update_of(ListKind::cached, known));
+    n.serving->join({});
     world_->node_ready(node);
   });
 }
@@ -428,7 +486,10 @@
 }
 
 void Model::term_node(std::uint32_t node) {
-  if (nodes_[node].serving) drain(nodes_[node].serving, agenda_.now());
+  const auto process = nodes_[node].serving;
+  if (!process) return;
+  enter(node, [process] { process->leaves(); });
+  drain(process, agenda_.now());
 }
 
 void Model::stall_node(std::uint32_t node, bool stalled) {
@@ -455,6 +516,7 @@
     for (const auto& [number, e] : world_->list(node).entries) known.push_back(e);
     next->happened(update_of(ListKind::cached, known));
     next->happened(TakeOver{std::make_shared<const Succession>(old->gateway().hand_over(agenda_.now()))});
+    next->join(old->leave_member());
     n.leaving.push_back(old);
     n.serving = next;
     drain(old, agenda_.now());
@@ -513,6 +575,32 @@
   if (n.serving) enter(node, [p = n.serving, update] { p->happened(update); });
 }
 
+void Model::datagram(std::uint32_t from, std::uint32_t to, std::string_view payload) {
+  if (const auto p = nodes_[to].serving)
+    enter(to, [p, from, text = std::string(payload)] { p->peer_said(from, text); });
+}
+
+double Model::views_agreed() const {
+  double up = 0, agree = 0;
+  for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+    if (!world_->node_up(n) || !nodes_[n].serving) continue;
+    const auto* members = nodes_[n].serving->members();
+    ++up;
+    if (members == nullptr) {
+      ++agree;
+      continue;
+    }
+    const auto v = members->view(agenda_.now());
+    bool same = true;
+    for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+      const auto& s = (*v->seats)[i].state;
+      same = same && (s.known() && s.rank <= fleet::Rank::suspect) == world_->node_up(i);
+    }
+    agree += same ? 1 : 0;
+  }
+  return up > 0 ? agree / up : 1;
+}
+
 void Model::network_changed() {
   for (auto& n : nodes_) {
     if (n.serving) n.serving->network_changed();
--- a/src/world/model.hpp
+++ b/src/world/model.hpp
@@ -34,8 +34,9 @@
   void reset_connections(std::uint32_t server) override;
   void list_changed(std::uint32_t node, std::span<const Entry> changes, std::int64_t revision) override;
   void network_changed() override;
-  void datagram(std::uint32_t, std::uint32_t, std::string_view) override {
-  }  // no part of a node sends any yet
+  void datagram(std::uint32_t from, std::uint32_t to, std::string_view payload) override;
+  // Of the nodes that are up, how many hold just those for living that are up; 1 where members are off.
+  double views_agreed() const;
 
  private:
   class Process;
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -20,6 +20,7 @@
   double start_s = 0.05;                          // model: from a node's start until it can serve
   double term_s = 3.7;                            // from SIGTERM to SIGKILL: PROTOCOL, "Figures"
   std::uint64_t memory_mb = 192, sockets = 1024;
+  std::string members = "off";  // or "on", "pace": as the program's --members
 };
 
 struct NetworkTerms {  // one way, in ms; model and processes alike
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -70,6 +70,7 @@
 
   // Starts all nodes. Clients begin when all are ready, or after `patience`.
   void begin(Duration patience);
+  bool node_up(std::uint32_t node) const { return nodes_[node].life == Life::up; }
   bool clients_began() const { return began_at_ != Time{}; }
   Time began_at() const { return began_at_; }
   // Clients ask no more and nothing of theirs is open; faults go on until then.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -15,6 +15,7 @@
 
   bool serves() override { return ready; }
   std::string figures() override { return "node_concurrent 0\n"; }
+  std::optional<std::string> members() override { return view; }
   bool leave_out(const std::string& server, bool leave) override {
     if (server != "s-1" && server != "s 2") return false;
     if (leave) out.insert(server);
@@ -36,6 +37,7 @@
   Clock clock;
   Timers timers{loop.io, clock};
   bool ready = true;
+  std::optional<std::string> view;
   std::set<std::string> out;
   std::string answer;
   Control control{loop.io, timers, *this};
@@ -51,6 +53,14 @@
   EXPECT_TRUE(answer.ends_with("\r\n\r\nnode_concurrent 0\n")) << answer;
   EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos);
 }
+TEST_F(ControlTest, MembersAreJsonWhereTheyAreOn) {
+  EXPECT_EQ(call("GET", "/members"), 404);
+  view = "{}\n";
+  EXPECT_EQ(call("GET", "/members"), 200);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n{}\n")) << answer;
+  EXPECT_NE(answer.find("Content-Type: application/json\r\n"), std::string::npos);
+  EXPECT_EQ(call("POST", "/members"), 405);
+}
 TEST_F(ControlTest, ServersAreLeftOutAndPutBack) {
   EXPECT_EQ(call("POST", "/price-servers/disable?who=s-1"), 200);
   EXPECT_TRUE(out.contains("s-1"));
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -329,6 +329,25 @@
   EXPECT_EQ(run("run " + file + " --carrier processes --most-lag-ms 10000 --set clients.load=0.1"), 0)
       << said();
 }
+// Nine real processes that know of each other: killed, told to leave, upgraded. It waits for the state, not for a time.
+TEST_F(Tool, RealMembersAgreeAfterKillsAnUpgradeAndARestart) {
+  const auto out = dir / "members";
+  const auto file = std::string(SCENARIOS) + "/members-kill.toml";
+  EXPECT_EQ(run("run " + file + " --carrier processes --most-lag-ms 10000 --set clients.load=0.1 --out " +
+                out.string()),
+            0)
+      << said();
+  const auto log = [&](const char* node) {
+    std::ostringstream text;
+    text << std::ifstream(out / (std::string("node-") + node + ".log")).rdbuf();
+    return text.str();
+  };
+  EXPECT_NE(log("5").find("member 0 has failed"), std::string::npos) << log("5");
+  EXPECT_NE(log("5").find("member 4 has left"), std::string::npos) << log("5");
+  EXPECT_NE(log("5").find("member 2 is back"), std::string::npos) << log("5");
+  EXPECT_EQ(log("5").find("member 3 has"), std::string::npos)
+      << log("5");  // upgraded: the same member goes on
+}
 // The tool as a child, with real nodes as its own children, ended in the midst of a play.
 struct EndedTool : Tool {
   pid_t tool = 0;
