--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -375,7 +375,8 @@
 
 // The number of the living may slow or quicken this node's calls. It says nothing of anybody's units.
 void Node::view_changed(const fleet::View& view) {
-  if (config_.peers->paces) happened(FleetView{view.living});
+  // One that was never heard of may be there: it has its part until it is known to have failed or left.
+  if (config_.peers->paces) happened(FleetView{view.living + view.unknown});
 }
 
 bool Node::leave_out(const std::string& server, bool out) {
--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -234,7 +234,8 @@
     }
     if (model_.scenario_.fleet.members != "pace" || members_->changes() == told_version_) return;
     told_version_ = members_->changes();
-    happened(FleetView{members_->view(now)->living});
+    const auto view = members_->view(now);
+    happened(FleetView{view->living + view->unknown});
   }
   Duration keep() const { return from_seconds(facts::kIdlePart * model_.scenario_.servers.idle_s); }
 
