Members: one place for what tellers say, and for the probe that an answer ends

Change: Members::hear and take_probe serve both places; State::same_life is gone. Behaviour stays as it is: a passed-on answer still counts only for a probe that asked relays.

--- a/src/fleet/datagram.hpp
+++ b/src/fleet/datagram.hpp
@@ -36,7 +36,6 @@
            life;
   }
   bool known() const { return incarnation > 0; }
-  bool same_life(const State& o) const { return incarnation == o.incarnation && life == o.life; }
   bool operator==(const State&) const = default;
 };
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -24,7 +24,7 @@
 constexpr std::uint32_t kLeastVoices = 2;   // of these, different ones
 constexpr std::uint32_t kRelays = 3;        // at once, two of them in neither one's zone
 constexpr std::uint32_t kDraws = 24;        // for each
-constexpr std::uint32_t kLeftTellers = 2;   // who must have told that another has left
+constexpr std::ptrdiff_t kLeftTellers = 2;  // who must have told that another has left
 constexpr std::uint32_t kJump = 16;         // incarnations at once on one other's word
 constexpr std::uint32_t kMostHealth = 8;    // Lifeguard's S
 constexpr std::size_t kWindow = 8;          // whole probes that the standing looks back on
@@ -240,7 +240,7 @@
   const auto& t = at(target);
   const bool doubted = t.state.rank == Rank::suspect && t.words.size() >= kWords && !terms_.plain;
   if (living(t) && !doubted) return probe(now, target, false);
-  if (at(target).state.rank != Rank::left) probe(now, target, true);
+  if (t.state.rank != Rank::left) probe(now, target, true);
   // Its turn goes to one of whom nothing was heard of late while many are silent, to one of whom a word more would decide,
   // or else to any that is there.
   const std::uint64_t all = terms_.nodes - 1;
@@ -290,6 +290,16 @@
   send(target, Ping{news_for(target, false)}, p.echo);
 }
 
+std::optional<Members::Probe> Members::take_probe(MemberId target, std::uint32_t echo, bool by_relay) {
+  const auto it = std::ranges::find_if(probes_, [&](const Probe& p) {
+    return p.target == target && p.echo == echo && (!by_relay || p.asked > 0);
+  });
+  if (it == probes_.end()) return std::nullopt;
+  const auto found = *it;
+  probes_.erase(it);
+  return found;
+}
+
 void Members::try_again(Time now, Probe& p) {
   p.next_try = now + retry();
   ++p.tries;
@@ -478,10 +488,8 @@
 
 bool Members::believed(Member& m, MemberId teller, const State& s) {
   if (!m.state.known() || s.incarnation <= m.state.incarnation + kJump) return true;
-  std::erase_if(m.hearsay, [&](const auto& h) { return h.first == teller; });
-  m.hearsay.emplace_back(teller, s);
-  const auto agree = std::ranges::count_if(
-      m.hearsay, [&](const auto& h) { return h.second.incarnation + kJump >= s.incarnation; });
+  const auto agree = hear(m, teller, s,
+                          [&](const State& h) { return h.incarnation + kJump >= s.incarnation; });
   if (agree >= static_cast<std::ptrdiff_t>(terms_.words())) return true;
   if (m.hearsay.size() > 2 * kWords) m.hearsay.erase(m.hearsay.begin());
   drop(Drop::ahead);
@@ -520,12 +528,7 @@
     }
     case Rank::left: {
       if (s.key() <= m.state.key()) return;
-      if (!itself) {
-        std::erase_if(m.hearsay, [&](const auto& h) { return h.first == teller; });
-        m.hearsay.emplace_back(teller, s);
-        const auto agree = std::ranges::count_if(m.hearsay, [&](const auto& h) { return h.second == s; });
-        if (agree < static_cast<std::ptrdiff_t>(kLeftTellers)) return;
-      }
+      if (!itself && hear(m, teller, s, [&](const State& h) { return h == s; }) < kLeftTellers) return;
       return become(now, e.id, s, e.zone, news);
     }
   }
@@ -587,8 +590,7 @@
   if (read.fault != Fault::none) return drop(static_cast<Drop>(static_cast<std::size_t>(read.fault) - 1));
   const auto& h = read.message.header;
   if (h.sender != from || from == self_.id || index_of(from) >= terms_.nodes) return drop(Drop::sender);
-  const auto digest_before = digest();
-  const bool agreed = h.digest == digest_before;
+  const bool agreed = h.digest == digest();
   heard(now, from, h);
   const auto take = [&](const std::vector<Entry>& entries, bool news) {
     for (const auto& e : entries) apply(now, e, from, news);
@@ -599,13 +601,7 @@
     send(from, Ack{news_for(from, false)}, h.echo);
   } else if (const auto* ack = std::get_if<Ack>(&body)) {
     take(ack->news, true);
-    const auto it = std::ranges::find_if(
-        probes_, [&](const Probe& p) { return p.target == from && p.echo == h.echo; });
-    if (it != probes_.end()) {
-      const auto p = *it;
-      probes_.erase(it);
-      concluded(now, p, true);
-    }
+    if (const auto p = take_probe(from, h.echo, false)) concluded(now, *p, true);
     const auto job = std::ranges::find_if(
         errands_, [&](const Errand& e) { return e.target == from && e.own_echo == h.echo; });
     if (job != errands_.end()) {
@@ -621,14 +617,9 @@
     errands_.push_back({from, request->target, h.echo, ++echoes_, now + 2 * retry()});
     send(request->target, Ping{news_for(request->target, true)}, echoes_);
   } else if (const auto* relayed = std::get_if<Relayed>(&body)) {
-    const auto it = std::ranges::find_if(probes_, [&](const Probe& p) {
-      return p.target == relayed->target && p.echo == h.echo && p.asked > 0;
-    });
-    if (it != probes_.end()) {
-      const auto p = *it;
-      probes_.erase(it);
+    if (const auto p = take_probe(relayed->target, h.echo, true)) {
       take(relayed->news, true);
-      concluded(now, p, true);
+      concluded(now, *p, true);
     }
   } else if (const auto* nack = std::get_if<Nack>(&body)) {
     const auto it = std::ranges::find_if(
--- a/src/fleet/members.hpp
+++ b/src/fleet/members.hpp
@@ -180,6 +180,8 @@
   Time next_round(Time now) const;
   void begin_round(Time now);
   void probe(Time now, MemberId target, bool touch);
+  // Ends the probe that an answer with this echo is for, one that asked relays if it came by one; none: there is none.
+  std::optional<Probe> take_probe(MemberId target, std::uint32_t echo, bool by_relay);
   void try_again(Time now, Probe& p);
   void ask_relays(Time now, Probe& p);
   void concluded(Time now, const Probe& p, bool answered);
@@ -196,6 +198,13 @@
   void about_me(Time now, const Entry& e, MemberId teller);
   // Whether a claim so far ahead of what is known may be taken: its member says so itself, or enough others do.
   bool believed(Member& m, MemberId teller, const State& s);
+  // Keeps the latest that each teller says of a member, and counts those that agree.
+  template <class Agrees>
+  static std::ptrdiff_t hear(Member& m, MemberId teller, const State& s, Agrees agrees) {
+    std::erase_if(m.hearsay, [&](const auto& h) { return h.first == teller; });
+    m.hearsay.emplace_back(teller, s);
+    return std::ranges::count_if(m.hearsay, [&](const auto& h) { return agrees(h.second); });
+  }
   void become(Time now, MemberId id, State s, std::uint8_t zone, bool news, std::uint32_t sent = 0);
   void word(Time now, MemberId id, MemberId accuser, bool news, bool verdict = false);
   bool enough(const Member& m, std::uint32_t needed) const;
@@ -236,7 +245,7 @@
   std::vector<Verdict> verdicts_;
   Figures figures_;
   std::deque<std::pair<MemberId, bool>> answered_;  // of the latest whole probes
-  std::deque<Time> trouble_;   // failures and returns of late
+  std::deque<Time> trouble_;                        // failures and returns of late
   std::vector<Time> zone_heard_;
   std::uint32_t echoes_;
   double rtt_ = 0, rtt_var_ = 0;  // seconds; 0: nothing measured yet
