An answer without a length is whole at an orderly end alone, not after a reset

At fault: ServerConnection::on_read, which took every failed read for the end of such an answer (put_eof), a reset too. Ruled out: answers with a length and in chunks (the parser turns a cut one down), the client's side (cut_off resets).

Change: only end of file ends it; a reset is Outcome::reset, whether the answer is held or already passes on. Test: UpstreamTest.AnAnswerWithoutALengthThatIsResetIsNotWhole, seen to fail without the change.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -194,9 +194,11 @@
   // On a connection that idles there is nothing to read but its end.
   if (stage_ == Stage::idle) return pool_.drop_stale(shared_from_this());
   if (failed) {
+    // Only an orderly end closes an answer without a length. After a reset nobody knows how much of it is missing.
     error_code ended;
-    if (stage_ == Stage::waiting && parser_->got_some() && !parser_->is_done()) parser_->put_eof(ended);
-    if (stage_ == Stage::waiting && !ended && parser_->is_done()) return finish();
+    const bool orderly = failed == asio::error::eof && stage_ == Stage::waiting;
+    if (orderly && parser_->got_some() && !parser_->is_done()) parser_->put_eof(ended);
+    if (orderly && !ended && parser_->is_done()) return finish();
     return broke();
   }
   buffer_.commit(bytes);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -188,6 +188,24 @@
   EXPECT_EQ(upstream.size(), 0u);
 }
 
+// An answer without a length ends with its connection, but a reset is no end: a part of it would pass for the whole.
+TEST_F(UpstreamTest, AnAnswerWithoutALengthThatIsResetIsNotWhole) {
+  for (const std::size_t size : {std::size_t{3}, facts::kHeldBytes + 1}) {  // held, and on its way in pieces
+    ends.clear();
+    Peer server(loop.io, [&](Wire& w) {
+      if (w.message().empty()) return;
+      asio::write(w.socket, asio::buffer("HTTP/1.1 200 OK\r\n\r\n" + std::string(size, 'x')));
+      w.reset();
+    });
+    upstream.update(ServerId(1), server.at(), true);
+    send();
+    ASSERT_TRUE(loop.until([&] { return !ends.empty(); }));
+    EXPECT_EQ(ends[0].outcome, Outcome::reset) << size;
+    EXPECT_EQ(upstream.size(), 0u);
+  }
+  EXPECT_EQ(heads.size(), 1u);  // of the one that had begun to pass on
+}
+
 TEST_F(UpstreamTest, InterimAnswerIsPassedOver) {
   EXPECT_EQ(outcome(answers("HTTP/1.1 102 Processing\r\n\r\n" + http_answer("200 OK", "x"))).outcome,
             Outcome::ok);
