Sessions that rest end by a lingering close, and don't hold the process up

Need: a request may arrive in the moment in which a resting connection is closed. close() over unread bytes is a reset, which takes with it what the client has not read yet, and there is no telling between `available` and `close`.

Nothing that is read after the shutdown is sent on.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,5 +1,7 @@
 #include "clients.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -194,7 +196,10 @@
   buffer_.commit(bytes);
   heard_ = clients_.timers_.now();
   came_ += bytes;
-  if (stage_ == Stage::lingering) buffer_.clear();
+  if (stage_ == Stage::lingering) {
+    buffer_.clear();
+    if (came_ > facts::kLongestBody) return close();
+  }
   if (stage_ == Stage::reading) {
     parse();
   } else if (upload_) {
@@ -395,19 +400,31 @@
 
 void ClientSession::on_written() {
   writing_ = {};
-  if (!keep_alive_) {
-    // Only the sending side: a reset for bytes still unread here would take the answer with it.
-    error_code ignored;
-    socket_.shutdown(Socket::shutdown_send, ignored);
-    buffer_.clear();
-    enter(Stage::lingering);
-    return read();
-  }
+  if (!keep_alive_) return end_politely();
   enter(Stage::reading);
   parse();
   read();
 }
 
+void ClientSession::end_politely() {
+  error_code ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+  buffer_.clear();
+  came_ = 0;
+  enter(Stage::lingering);
+  read();
+}
+
+// For its descriptor, which is needed now: what lies unread is read, so that the close is no reset where it can be none.
+void ClientSession::make_way() {
+  error_code failed;
+  socket_.shutdown(Socket::shutdown_send, failed);
+  std::array<char, facts::kReadSize> unread{};
+  for (auto n = facts::kMostBody / unread.size(); n > 0; --n)
+    if (::recv(socket_.native_handle(), unread.data(), unread.size(), MSG_DONTWAIT) <= 0) break;
+  close();
+}
+
 void ClientSession::close() {
   if (closed()) return;
   const auto request = std::exchange(request_, 0);
@@ -436,7 +453,8 @@
   if (stage_ == Stage::waiting || now - from < limit) return;
   if (stage_ == Stage::reading && began_)
     return began_ = false, reject(http::status::request_timeout, "the request did not come");
-  close();
+  if (stage_ == Stage::reading && !fresh_) return end_politely();
+  make_way();
 }
 
 // A head has its time, and a body as much more as what has come takes a slow client.
@@ -526,7 +544,7 @@
 
 bool Clients::make_room() {
   const auto session = longest_silent();
-  if (session) session->close();
+  if (session) session->make_way();
   return session != nullptr;
 }
 
@@ -541,7 +559,7 @@
   for (const auto& s : all) {
     s->sweep(now);
     const auto idle = retired_ ? facts::kHandedOverIdle : facts::kNewAfterTerm;
-    if ((draining_ || retired_) && s->untouched() && now - s->since() > idle) s->close();
+    if ((draining_ || retired_) && s->untouched() && now - s->since() > idle) s->end_politely();
   }
   timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
@@ -552,7 +570,7 @@
   if (retired_) return;  // they are told with their next answers
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all)
-    if (s->untouched() && !s->fresh()) s->close();  // those that are new have a request on its way
+    if (s->untouched() && !s->fresh()) s->end_politely();  // those that are new have a request on its way
 }
 
 // Clients send up to SIGKILL on whatever stays open, and what SIGKILL finds unanswered of that is lost: a request
@@ -560,18 +578,25 @@
 void Clients::end_in_time(ClientRequest& request) const {
   const Time now = timers_.now();
   if (!draining_ || now - told_to_end_ <= facts::kNewAfterTerm) return;
-  Duration longest{};
-  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
-  const Time last = told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm -
-                    facts::kLastWord;
+  const Time last = last_word();
   if (request.deadline <= last) return;
   if (last <= now) throw BadRequest(http::status::service_unavailable, "this process ends");
   request.deadline = last;
   request.arrival.time_left = last - now;
 }
 
+Time Clients::last_word() const {
+  Duration longest{};
+  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
+  return told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord;
+}
+
+// Clients that have their answers and do not close don't hold the process up to SIGKILL.
 bool Clients::drained() const {
-  return draining_ && sessions_.empty() && timers_.now() - last_accept_ > facts::kNewAfterTerm;
+  const Time now = timers_.now();
+  if (!draining_ || now - last_accept_ <= facts::kNewAfterTerm) return false;
+  return sessions_.empty() ||
+         (now >= last_word() && std::ranges::all_of(sessions_, [](const auto& s) { return s->lingers(); }));
 }
 
 }  // namespace petrelrail
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -58,6 +58,11 @@
   void end() override;
   void cut_off() override;
   void close();
+  // Lingering close: the sending side first, then what still comes is read and thrown away, within bounds. A close over
+  // unread bytes would be a reset, which takes with it what the client has not read yet.
+  void end_politely();
+  bool lingers() const { return stage_ == Stage::lingering; }
+  void make_way();
   // Nothing of a request has come and none is out: it can be closed without loss.
   bool idle() const { return stage_ == Stage::reading && !began_; }
   // And the system holds nothing of one either that was not read yet.
@@ -162,6 +167,7 @@
   void begin();
   void accept();
   void end_in_time(ClientRequest& request) const;
+  Time last_word() const;  // by which the last answers have left before SIGKILL
   std::shared_ptr<ClientSession> longest_silent() const;
   void sweep();
   void forget(const std::shared_ptr<ClientSession>& session);
