A client is looked at in the moment in which an attempt would be written

Need: a client that closes its connection has gone, and nothing may begin for it more than 0.1 s later. At fault: Node::still_wanted, which knew only what the loop had told; ClientSession::read, which stopped reading of a client that had written far ahead, so that a close behind those bytes was not seen until the request's end.

Change: Asker::waits asks the system (poll for a hang-up, then a look for the end) when the bytes are about to be written, also after a connection came up late; of one that left the request ends there. Of a client that writes more than one message ahead nothing more is kept and its session ends with its answer, but it is read on, up to kLongestBody. Turned down: a timer that looks at each waiting client. Cost: one poll an attempt.

--- a/src/node/asker.hpp
+++ b/src/node/asker.hpp
@@ -27,6 +27,8 @@
 class Asker {
  public:
   virtual ~Asker() = default;
+  // Whether somebody still waits, asked in the moment in which an attempt would be written.
+  virtual bool waits() = 0;
   // Just one of these: a whole answer, or one in pieces. The next piece may come when the last one has been taken; an answer
   // that is cut off leaves the asker able to tell.
   virtual void answer(const Answer& answer) = 0;
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,5 +1,6 @@
 #include "clients.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -173,8 +174,7 @@
 }
 
 void ClientSession::read() {
-  // A client that writes on while its request is out is read ahead by one message at most.
-  if (reads_ || closed() || buffer_.size() > facts::kMostHeader + facts::kMostBody) return;
+  if (reads_ || closed()) return;
   if (upload_ && upload_->full()) {
     if (paused_at_ == Time{}) paused_at_ = clients_.timers_.now();
     return;
@@ -196,7 +196,11 @@
   buffer_.commit(bytes);
   heard_ = clients_.timers_.now();
   came_ += bytes;
-  if (stage_ == Stage::lingering) {
+  // A client that writes on while its request is out is kept by one message at most. Of more nothing is kept and the
+  // session ends with the answer, but it is read on: else a close behind it would not be seen.
+  if (stage_ != Stage::reading && !upload_ && buffer_.size() > facts::kMostHeader + facts::kMostBody)
+    keep_alive_ = false;
+  if (stage_ == Stage::lingering || (stage_ != Stage::reading && !upload_ && !keep_alive_)) {
     buffer_.clear();
     if (came_ > facts::kLongestBody) return close();
   }
@@ -406,6 +410,17 @@
   read();
 }
 
+bool ClientSession::waits() {
+  if (closed()) return false;
+  pollfd client{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
+  if (::poll(&client, 1, 0) <= 0) return true;  // nothing has come
+  char byte = 0;
+  const bool open = (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
+                    ::recv(client.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) != 0;
+  if (!open) asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+  return open;
+}
+
 void ClientSession::end_politely() {
   error_code ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -51,6 +51,9 @@
   ClientSession(Clients& clients, Socket socket);
 
   void start();
+  // False once the client has closed its connection, also where the loop has not told of that yet and where its close
+  // lies behind bytes that are not read for want of room.
+  bool waits() override;
   // Of the request that is out.
   void answer(const Answer& answer) override;
   void begin(const AnswerHead& head) override;
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -98,6 +98,7 @@
  public:
   Line(JobDesk& desk, std::uint64_t token) : desk_(&desk), token_(token) {}
   void forget() { desk_ = nullptr; }
+  bool waits() override { return desk_ != nullptr; }
 
   void answer(const Answer& a) override {
     if (a.status == http::status::ok) return over({LineOutcome::Kind::served, a.body, {}});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -312,9 +312,14 @@
   forget_if_done(id);
 }
 
-bool Node::still_wanted(RequestId request) const {
+// A client is looked at when the bytes are about to be written: its request may have waited for units, a place or a
+// connection, and the loop may not have come round to its close.
+bool Node::still_wanted(RequestId request) {
   const auto it = open_.find(request);
-  return it != open_.end() && it->second.asker;
+  if (it == open_.end() || !it->second.asker) return false;
+  if (it->second.asker->waits()) return true;
+  client_gone(static_cast<std::uint64_t>(request));
+  return false;
 }
 
 void Node::attempt_ended(const Errand& errand, Outcome outcome, Answer answer) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -76,7 +76,7 @@
   bool lend() override;
   bool descriptor_free() const override;
   bool reclaim_descriptor() override;
-  bool still_wanted(RequestId request) const override;
+  bool still_wanted(RequestId request) override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
   bool stream_began(const Errand& errand, const AnswerHead& head) override;
   void stream_piece(const Errand& errand, std::string_view piece, std::function<void()> taken) override;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -85,7 +85,7 @@
   return target.takes_work && !barred_.contains(target.pool.server());
 }
 
-bool Upstream::may_start(const Errand& e) const {
+bool Upstream::may_start(const Errand& e) {
   const auto it = targets_.find(e.server);
   if (it == targets_.end() || !takes_work(it->second) || timers_.now() >= e.deadline) return false;
   return !e.message || owner_.still_wanted(e.request);
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -15,7 +15,7 @@
 class Upstream : public LinkView {
  public:
   struct Owner {
-    virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
+    virtual bool still_wanted(RequestId request) = 0;  // its client still waits
     virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
     // A long answer, of which nothing is tried elsewhere any more. False: nobody waits for it.
     virtual bool stream_began(const Errand& errand, const AnswerHead& head) = 0;
@@ -72,7 +72,7 @@
   void run(Errand errand);
   void report(const Errand& errand, Outcome outcome, Answer answer);
   bool takes_work(const Target& target) const;
-  bool may_start(const Errand& errand) const;
+  bool may_start(const Errand& errand);
   void rest(const Pool::Connection& c, Pool& pool);  // it has become idle
   bool room_for_one_more();
   Duration idle_limit() const;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -15,7 +15,7 @@
 constexpr ServerId kOne{1};
 
 struct PoolTest : ::testing::Test, Upstream::Owner {
-  bool still_wanted(RequestId request) const override { return !gone.contains(request); }
+  bool still_wanted(RequestId request) override { return !gone.contains(request); }
   void attempt_ended(const Errand& e, Outcome o, Answer a) override { ends.push_back({e, o, std::move(a)}); }
   bool stream_began(const Errand&, const AnswerHead&) override { return true; }
   void stream_piece(const Errand&, std::string_view, std::function<void()> taken) override {
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -15,7 +15,7 @@
     std::size_t connections;  // still held when the outcome was told
   };
 
-  bool still_wanted(RequestId) const override { return wanted; }
+  bool still_wanted(RequestId) override { return wanted; }
   void attempt_ended(const Errand& e, Outcome o, Answer a) override {
     ends.push_back({e, o, std::move(a), upstream.size()});
   }
