An answer that breaks on its way ends in order, and a head alone is still held

An answer whose head alone had come passed on after kHeldTime with nothing written, and one that broke was cut off by a reset, which takes with it what the client has not read: either way the client gets no byte of an answer that "began to pass on". At fault: ServerConnection::long_answer, which did not ask for a body; hold_'s timer, which ended the request's limit and set no other where the body was empty, so that a head with nothing after it was never ended; ClientSession::cut_off. Ruled out by reading: the look at clients (never during an answer), lingering (after whole answers alone).

Change: nothing passes on before some of the body is there, so a head alone may be tried elsewhere within the request's time; a broken answer that is framed by chunks or a length ends in order without its end. Only where the end of the connection would be the answer's is it a reset. Test: NodeTest.AnAnswerThatBreaksOnItsWayEndsInOrderWithoutItsEnd, NodeTest.AHeadAloneIsHeldAndMayBeTriedElsewhere.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -343,6 +343,7 @@
   if (stage_ != Stage::waiting) return;
   enter(Stage::streaming);
   chunked_ = !head.length && modern_;
+  framed_ = chunked_ || head.length;
   if (clients_.draining_ || clients_.retired_ || (!head.length && !chunked_)) keep_alive_ = false;
   out_ = head_of(http::status::ok, head.content_type, head.length, chunked_, keep_alive_) + "\r\n";
 }
@@ -371,7 +372,12 @@
 void ClientSession::cut_off() {
   request_ = 0;
   if (stage_ != Stage::streaming) return;
-  // Also where the end of the connection would be the end of the answer.
+  keep_alive_ = false;
+  if (framed_) {  // its end is missing, which tells; a reset would take with it what the client has not read
+    enter(Stage::writing);
+    return write_some();
+  }
+  // The end of the connection would be the end of the answer.
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   close();
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -118,6 +118,7 @@
   bool reads_ = false;              // a read is pending
   bool writes_ = false;             // a write is pending
   bool chunked_ = false;            // how the answer in pieces is framed
+  bool framed_ = false;             // by chunks or its length, so that a part shows as one
   bool keep_alive_ = false;         // what the request that is out wants
   bool bare_ = false;               // HEAD: an answer without its body
   bool modern_ = true;              // HTTP/1.1: knows chunks
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -247,15 +247,16 @@
     self->hold_.reset();
     if (!self->long_answer()) return;
     self->begin_stream();
-    if (self->stage_ != Stage::closed && !self->parser_->get().body().empty()) self->pass_on();
+    if (self->stage_ != Stage::closed) self->pass_on();
   });
 }
 
 // Whether the part that has come should pass on now. What is held until then may be tried elsewhere if the
-// connection breaks. The body of an answer that is not passed on is of no use.
+// connection breaks, and so may a head alone. The body of an answer that is not passed on is of no use.
 bool ServerConnection::long_answer() const {
   if (streams_ || !parser_->is_header_done() || !errand_->message) return false;
   const auto& answer = parser_->get();
+  if (answer.body().empty()) return false;
   const auto length = parser_->content_length();
   return answer.result() == http::status::ok && stage_ == Stage::waiting &&
          (answer.body().size() >= facts::kHeldBytes || (length && *length > facts::kMostBody) ||
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -27,7 +27,7 @@
     socket.async_read_some(asio::buffer(space_),
                            [self = shared_from_this()](const error_code& failed, std::size_t n) {
                              self->in.append(self->space_.data(), n);
-                             if (failed) self->ended = true;
+                             if (failed) self->ended = true, self->broken = failed != asio::error::eof;
                              if (self->came) self->came(*self);
                              if (!failed) self->read();
                            });
@@ -69,7 +69,7 @@
 
   Socket socket;
   std::string in;
-  bool ended = false;
+  bool ended = false, broken = false;  // by whatever; and not in order
   std::function<void(Wire&)> came;
 
  private:
--- a/tests/session_crossing_test.cpp
+++ b/tests/session_crossing_test.cpp
@@ -59,6 +59,48 @@
   expect_left(1);
 }
 
+// An answer that breaks on its way. What the client has got of it is not taken back by a reset, and the end that is
+// missing tells that it is not whole.
+TEST_F(NodeTest, AnAnswerThatBreaksOnItsWayEndsInOrderWithoutItsEnd) {
+  start();
+  for (const char* framing : {"", "Content-Length: 70000\r\n"}) {
+    respond = [&](Wire& w, const std::string&) {
+      w.send("HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n" + std::string(20000, 'x'));
+    };
+    const auto w = client();
+    w->send(Ask{}.text());
+    ASSERT_TRUE(loop.until([&] { return std::ranges::count(w->in, 'x') == 20000; }));
+    for (auto* p : {&server, &second})
+      for (const auto& c : p->wires) c->reset();
+    ASSERT_TRUE(loop.until([&] { return w->ended; }));
+    EXPECT_FALSE(w->broken);
+    EXPECT_FALSE(w->in.ends_with("\r\n0\r\n\r\n"));
+  }
+}
+// Of a head alone nothing has been passed on: it is tried elsewhere, and one that never goes on has the request's time.
+TEST_F(NodeTest, AHeadAloneIsHeldAndMayBeTriedElsewhere) {
+  start();
+  std::shared_ptr<Wire> first;
+  respond = [&](Wire& w, const std::string&) {
+    const auto begun = std::string("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n");
+    if (seen.size() == 2) return w.send(begun + "abc");
+    if (first) return w.send(http_answer("200 OK", "served"));
+    first = w.shared_from_this();
+    w.send(begun);
+  };
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return first != nullptr; }));
+  const auto later = client();  // what is held of its answer passes on after the same time
+  later->send(Ask{.id = "a2"}.text());
+  ASSERT_TRUE(loop.until([&] { return later->in.ends_with("abc"); }));
+  first->reset();
+  EXPECT_EQ(status(w), 200);
+  EXPECT_TRUE(answer.ends_with("served"));
+  respond = [](Wire& c, const std::string&) { c.send("HTTP/1.1 200 OK\r\n\r\n"); };
+  EXPECT_GE(status(Ask{.timeout = "400"}), 429);
+}
+
 struct LingeringClose : NodeTest {
   // A session that rests after its answer, and a node that has just been told to end.
   std::shared_ptr<Wire> resting() {
