Discovery: only whole lines keep a watch, and the list is asked for beside one without

Need: what the agent holds counts as told whether or not a watch is open, and a draining server may be sent something new for drain_grace more, which is 250 ms and 150 ms at some sites.

Cause, in src/node/discovery.cpp: on_read began the 3 s of silence anew on any bytes, so that a head alone, half a line or dribbled bytes held a watch alive; connect and again asked every 500 + 250 ms whatever the grace, and gave an unanswered connection up before the next; take_text ended the pauses' growth at lists alone.

The time of a watch runs from its opening or its last whole line. Until it has given one, GET /api/targets goes out beside it every grace / 2 (20 to 500 ms), on two more connections at most: the oldest has its 500 ms, the other gives way. A watch is opened anew within grace / 4 (20 to 250 ms). Node passes the grace in and renews it at SIGHUP. Changes older than a list taken beside the watch are passed over; whole lists are always taken. Connections own what is under way on them. kOwnDescriptors grows by two.

Turned down: more watches beside each other (one whose first line is empty and late would be replaced for ever); to stop asking after one list (a watch with its head alone would then hide changes for 3 s); a longer answer limit.

tests/agent.hpp: 'asked' holds watches, 'questions' the others; watch(n) is the n-th watch's wire, no longer the last. Measured: the 164 tests of gateway_test and node_test that were run pass (one run); those of processes, of the lab and under the sanitizers were not run. Seen to fail with a part of the mend taken out: any bytes extend a watch (BytesWithoutAnEndDoNotKeepAWatch), no questions (BesideAWatchWithItsHeadAloneTheListIsAskedFor), empty lines leave the pauses (AnEmptyLineEndsThePausesGrowth), overtaken changes taken (ChangesThatAListBesideHasOvertakenArePassedOver), the oldest gives way (ASlowAgentIsHeard), no bound (ConnectionsToASilentAgentAreFew), limits fixed (LimitsFollowTheGraceAlsoAtHangUp). Not failing: WhileAQuestionIsOut where move() leaves the old questions, since the first line from the new agent ends them. The other tests were not run against the former mechanism.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -2,15 +2,43 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
-#include "facts.hpp"
 #include "settings_reader.hpp"
 
 namespace petrelrail {
 
 using namespace reading;
+namespace http = boost::beast::http;
+
+// One connection to the agent. Once it has ended, what is still under way on it finds no owner.
+struct Discovery::Question {
+  Question(Discovery& d, bool is_watch) : owner(&d), watch(is_watch), socket(d.io_.get_executor()) {
+    parser.body_limit(boost::none);  // lists are bounded one by one
+    parser.eager(true);
+  }
+
+  Discovery* owner;
+  const bool watch;
+  Socket socket;
+  boost::beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  http::response_parser<http::string_body> parser;
+  // The list that is coming, which may stand on many lines.
+  std::string list;
+  std::size_t depth = 0;   // of brackets that are open; 0: between two lists
+  bool quoted = false;     // in a string
+  bool escaped = false;    // after a backslash in it
+  bool blank_line = true;  // nothing on this line so far
+  bool has_head = false, has_line = false;
+  Time opened{};
+  Timers::Handle limit;
+};
 
 std::optional<Tcp::endpoint> endpoint_of(std::string_view text) {
   const auto colon = text.rfind(':');
@@ -26,26 +54,45 @@
 }
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
-                     std::map<std::string, std::uint32_t> zones, Told told)
-    : timers_(timers),
+                     std::map<std::string, std::uint32_t> zones, Told told, Duration drain_grace)
+    : io_(io),
+      timers_(timers),
       at_(at),
       host_(std::move(host)),
       zones_(std::move(zones)),
       told_(std::move(told)),
-      socket_(io.get_executor()) {}
+      limits_(facts::agent_limits(drain_grace)) {}
+
+Discovery::~Discovery() {
+  timers_.cancel(pause_);
+  timers_.cancel(next_question_);
+  if (watch_) end(watch_);
+  end_questions();
+}
 
 void Discovery::start(const json& known) {
   take(known, true);
-  connect();
+  open_watch();
+  ask_later();
 }
 
 void Discovery::move(const Tcp::endpoint& at, std::string host) {
   at_ = at;
   host_ = std::move(host);
   backoff_ = {};
-  timers_.cancel(silence_);
-  close_now(socket_);
-  connect();
+  timers_.cancel(pause_);
+  end_questions();
+  if (watch_) end(std::exchange(watch_, nullptr));
+  open_watch();
+  ask_later();
+}
+
+void Discovery::tune(Duration drain_grace) {
+  limits_ = facts::agent_limits(drain_grace);
+  if (next_question_ && (*next_question_)->first > timers_.now() + limits_.answer) ask_later();
+  if (!pause_ || (*pause_)->first <= timers_.now() + limits_.pause) return;
+  timers_.cancel(pause_);
+  open_watch();
 }
 
 // ---- Reading a list -------------------------------------------------------------------------------------
@@ -121,109 +168,176 @@
   }
 }
 
-// ---- The watch ------------------------------------------------------------------------------------------
-
-void Discovery::connect() {
-  const auto number = ++life_;
-  expect(facts::kAgentAnswer);
-  socket_.async_connect(at_, [this, number](const error_code& failed) {
-    if (number != life_) return;
-    if (failed) return again();
-    set_no_delay(socket_);
-    request_ = {http::verb::get, "/api/targets?watch=1&from=" + std::to_string(revision_), 11};
-    request_.set(http::field::host, host_);
-    buffer_.clear();
-    list_.clear();
-    depth_ = 0;
-    parser_.emplace();
-    parser_->body_limit(boost::none);
-    parser_->eager(true);
-    http::async_write(socket_, request_, [this, number](const error_code& broken, std::size_t) {
-      if (number == life_ && broken) again();
-    });
-    read();
+// ---- The watch and the questions beside it ---------------------------------------------------------------
+
+void Discovery::open_watch() {
+  beside_.reset();
+  watch_ = open(true);
+}
+
+// The oldest question has its whole time; of the others the first gives way where there are too many.
+void Discovery::ask() {
+  if (questions_.size() + 1 >= facts::kAgentQuestions) {
+    const auto it = questions_.begin() + (questions_.size() > 1 ? 1 : 0);
+    const Held late = *it;
+    questions_.erase(it);
+    end(late);
+  }
+  questions_.push_back(open(false));
+}
+
+void Discovery::ask_later() {
+  timers_.cancel(next_question_);
+  next_question_ = timers_.after(limits_.answer, [this] {
+    next_question_.reset();
+    ask_later();
+    ask();
   });
 }
 
-// A new watch is answered at once, and while all is well a line comes every 2 s, if only an empty one. A watch that is
-// silent for longer is broken: it is opened anew in time to learn what it missed before that counts as told, also
-// where the next one is silent as well.
-void Discovery::expect(Duration limit) {
-  timers_.cancel(silence_);
-  silence_ = timers_.after(limit, [this] {
-    silence_.reset();
-    if (backoff_ == Duration{}) log::warning("discovery", "silent");
-    again();
+Discovery::Held Discovery::open(bool watch) {
+  ++(watch ? figures_.watches : figures_.questions);
+  auto q = std::make_shared<Question>(*this, watch);
+  q->opened = timers_.now();
+  give_up_after(q, q->opened + facts::kAgentAnswer);
+  q->socket.async_connect(at_, [q](const error_code& wrong) {
+    if (q->owner == nullptr) return;
+    auto& self = *q->owner;
+    if (wrong) return self.failed(q, self.figures_.lost);
+    set_no_delay(q->socket);
+    const auto from = q->watch ? "?watch=1&from=" + std::to_string(self.revision_) : std::string();
+    q->request = {http::verb::get, "/api/targets" + from, 11};
+    q->request.set(http::field::host, self.host_);
+    if (!q->watch) q->request.set(http::field::connection, "close");
+    http::async_write(q->socket, q->request, [q](const error_code& broken, std::size_t) {
+      if (q->owner != nullptr && broken) q->owner->failed(q, q->owner->figures_.lost);
+    });
+    self.read(q);
   });
+  return q;
 }
 
-void Discovery::read() {
-  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
-                          [this, number = life_](const error_code& failed, std::size_t bytes) {
-                            if (number == life_) on_read(failed, bytes);
-                          });
+void Discovery::read(const Held& q) {
+  q->socket.async_read_some(q->buffer.prepare(facts::kReadSize),
+                            [q](const error_code& failed, std::size_t bytes) {
+                              if (q->owner != nullptr) q->owner->on_read(q, failed, bytes);
+                            });
 }
 
-void Discovery::on_read(const error_code& failed, std::size_t bytes) {
-  if (failed) return again();
-  buffer_.commit(bytes);
-  expect(facts::kWatchSilent);
-  if (!take_bytes()) return again();
-  read();
+void Discovery::on_read(const Held& q, const error_code& wrong, std::size_t bytes) {
+  if (wrong) return failed(q, figures_.lost);
+  q->buffer.commit(bytes);
+  const auto came = take_bytes(*q);
+  if (q->owner == nullptr) return;  // ended by who was told
+  if (came == Came::unreadable) return failed(q, figures_.unreadable);
+  if (came == Came::line) heard(q);
+  if (q->owner == nullptr) return;
+  if (q->parser.is_done()) return failed(q, figures_.lost);
+  if (q->watch && !q->has_line && q->parser.is_header_done() && !std::exchange(q->has_head, true))
+    give_up_after(q, q->opened + facts::kWatchSilent);
+  read(q);
 }
 
-// False if the watch has ended or can't be read on.
-bool Discovery::take_bytes() {
+Discovery::Came Discovery::take_bytes(Question& q) {
   error_code wrong;
-  while (!parser_->is_done() && buffer_.size() > 0) {
-    buffer_.consume(parser_->put(buffer_.data(), wrong));
+  while (!q.parser.is_done() && q.buffer.size() > 0) {
+    q.buffer.consume(q.parser.put(q.buffer.data(), wrong));
     if (wrong == http::error::need_more) break;
-    if (wrong) return false;
+    if (wrong) return Came::unreadable;
   }
-  if (parser_->is_header_done() && parser_->get().result() != http::status::ok) return false;
-  return take_text(std::exchange(parser_->get().body(), {})) && !parser_->is_done();
+  if (q.parser.is_header_done() && q.parser.get().result() != http::status::ok) return Came::unreadable;
+  return take_text(q, std::exchange(q.parser.get().body(), {}));
 }
 
 // Lists are objects with white space between and, where they come indented, within: where one ends its brackets tell.
-// False if what came can't be read. What was in it is not known then: the watch is begun again from the last version
-// that could be read.
-bool Discovery::take_text(std::string_view text) {
+// Where what came can't be read, what was in it is not known: the watch is begun again from the last version that could
+// be read.
+Discovery::Came Discovery::take_text(Question& q, std::string_view text) {
+  auto came = Came::nothing;
   for (const char c : text) {
     const bool white = c == ' ' || c == '\t' || c == '\r' || c == '\n';
-    if (depth_ == 0) {
+    if (q.depth == 0) {
+      if (c == '\n' && std::exchange(q.blank_line, true) && q.watch) came = Came::line;
       if (white) continue;
-      if (c != '{') return false;
-      quoted_ = escaped_ = false;
+      if (c != '{') return Came::unreadable;
+      q.quoted = q.escaped = false;
     }
-    list_ += c;
-    if (quoted_) {
-      if (c == '\n') return false;
-      quoted_ = escaped_ || c != '"';
-      escaped_ = !escaped_ && c == '\\';
+    q.list += c;
+    if (q.quoted) {
+      if (c == '\n') return Came::unreadable;
+      q.quoted = q.escaped || c != '"';
+      q.escaped = !q.escaped && c == '\\';
       continue;
     }
     // An empty line says that all is well, and none stands within a list: this one was cut short.
-    if (c == '\n' && std::exchange(blank_line_, true)) return false;
-    blank_line_ = blank_line_ && white;
-    quoted_ = c == '"';
-    if (c == '{' || c == '[') ++depth_;
-    if ((c != '}' && c != ']') || --depth_ > 0) continue;
-    const auto list = json::parse(std::exchange(list_, {}), nullptr, false);
-    if (list.is_discarded() || !take(list, false)) return false;
-    backoff_ = {};
+    if (c == '\n' && std::exchange(q.blank_line, true)) return Came::unreadable;
+    q.blank_line = q.blank_line && white;
+    q.quoted = c == '"';
+    if (c == '{' || c == '[') ++q.depth;
+    if ((c != '}' && c != ']') || --q.depth > 0) continue;
+    if (!take_list(q, std::exchange(q.list, {}))) return Came::unreadable;
+    came = Came::line;
+    if (!q.watch || q.owner == nullptr) return came;
   }
-  return list_.size() <= facts::kMostList;
+  return q.list.size() <= facts::kMostList ? came : Came::unreadable;
 }
 
-void Discovery::again() {
-  ++life_;
-  timers_.cancel(silence_);
-  close_now(socket_);
-  backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kAgentLongestPause);
-  silence_ = timers_.after(backoff_, [this] {
-    silence_.reset();
-    connect();
+// What a watch says of a time before the whole list that was taken beside it is known already, and was overtaken by it.
+bool Discovery::take_list(Question& q, const std::string& text) {
+  const auto list = json::parse(text, nullptr, false);
+  if (list.is_discarded()) return false;
+  const auto complete = list.value("complete", json());
+  if (!q.watch && complete != true) return false;
+  const auto revision = list.value("revision", json());
+  if (q.watch && beside_ && complete == false && revision.is_number_unsigned() && revision < *beside_)
+    return true;
+  if (!take(list, false)) return false;
+  if (!q.watch) beside_ = revision_;
+  return true;
+}
+
+void Discovery::heard(const Held& q) {
+  if (!q->watch) return end_questions();
+  q->has_line = true;
+  backoff_ = {};
+  timers_.cancel(next_question_);
+  end_questions();
+  give_up_after(q, timers_.now() + facts::kWatchSilent);
+}
+
+void Discovery::give_up_after(const Held& q, Time when) {
+  timers_.cancel(q->limit);
+  q->limit = timers_.at(when, [this, q] {
+    q->limit.reset();
+    failed(q, figures_.silent);
+  });
+}
+
+void Discovery::failed(const Held& q, std::uint64_t& reason) {
+  ++reason;
+  end(q);
+  if (!q->watch) {
+    std::erase(questions_, q);
+    return;
+  }
+  if (backoff_ == Duration{} && &reason == &figures_.silent) log::warning("discovery", "silent");
+  watch_.reset();
+  if (!next_question_) ask_later();
+  backoff_ = std::min(std::max(2 * backoff_, facts::kFirstBackoff), limits_.pause);
+  pause_ = timers_.after(backoff_, [this] {
+    pause_.reset();
+    open_watch();
   });
 }
 
+void Discovery::end(const Held& q) {
+  q->owner = nullptr;
+  timers_.cancel(q->limit);
+  close_now(q->socket);
+}
+
+void Discovery::end_questions() {
+  for (const auto& q : std::exchange(questions_, {})) end(q);
+}
+
 }  // namespace petrelrail
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -2,6 +2,7 @@
 // the one place of the edge node where numbers with a value of their own may stand.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -70,12 +71,30 @@
 inline constexpr Duration kWatchSilent = kWatchLine +
                                          kWatchLine / 2;  // a watch with no line for so long is broken
 // The agent stands on this machine and answers at once. What it has counts as told whether or not a watch is open,
-// and a price server that drains may be sent something new for 1 s more: so much may pass between two questions.
-inline constexpr Duration kAgentAnswer = 500ms;        // for a new watch to come up and its answer to begin
-inline constexpr Duration kAgentLongestPause = 250ms;  // before it is opened anew
-static_assert(kAgentAnswer + kAgentLongestPause < 1s);
-// What a silent watch misses counts as told 6 s after it fell silent: its successor may be silent, and the next too.
-static_assert(kWatchSilent + 3 * (kAgentAnswer + kAgentLongestPause) < kDiscoveryTold);
+// and a price server that drains may be sent something new for the settings' `drain_grace` more: less than that may
+// pass between two questions while the agent is silent, and before a watch that broke is opened anew.
+inline constexpr Duration kAgentAnswer = 500ms;        // a question without an answer is given up after this
+inline constexpr Duration kAgentLongestPause = 250ms;  // before a watch is opened anew, at most
+inline constexpr Duration kAgentLeast = 20ms;          // neither limit is less, however short the grace
+inline constexpr std::size_t
+    kAgentQuestions = 3;  // connections to it at once: the watch, questions beside it
+struct AgentLimits {
+  Duration answer;  // without a whole line for so long the next question goes out beside what is open
+  Duration pause;   // the longest before a watch is opened anew
+};
+constexpr AgentLimits agent_limits(Duration drain_grace) {
+  return {std::clamp(drain_grace / 2, kAgentLeast, kAgentAnswer),
+          std::clamp(drain_grace / 4, kAgentLeast, kAgentLongestPause)};
+}
+constexpr bool asks_within(Duration drain_grace) {
+  const auto limits = agent_limits(drain_grace);
+  return limits.answer + limits.pause <= drain_grace * 3 / 4;
+}
+static_assert(asks_within(1s) && asks_within(250ms) && asks_within(150ms) && asks_within(80ms));
+// What a silent watch misses counts as told 6 s after it fell silent. Then questions go out every kAgentAnswer, whatever
+// becomes of the next watch (head alone, half a line, nothing, refused, reset): with three of them lost as well, the
+// fourth has its whole time left.
+static_assert(kWatchSilent + 3 * kAgentAnswer + kAgentAnswer + kAgentLongestPause < kDiscoveryTold);
 // And after SIGHUP in 4 s.
 static_assert(4 * (kAgentAnswer + kAgentLongestPause) < kToldAfterHangUp);
 
@@ -101,8 +120,9 @@
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
-    kOwnDescriptors = 24 + kControlCallers +
-                      2;  // standard streams, epoll, timer, signals, listeners, discovery; control
+    kOwnDescriptors = 24 + kControlCallers + 2 +
+                      (kAgentQuestions -
+                       1);  // standard streams, epoll, timer, signals, listeners; control; discovery
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 inline constexpr double kServersKeep = 0.5;   // of the servers' share, which clients are not lent
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,8 +26,10 @@
       upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive, for_servers(config_),
                 *this),
       gateway_(config_.named.settings, config_.seed, &upstream_),
-      discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
-                 [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
+      discovery_(
+          io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
+          [this](ListKind kind, const auto& entries) { list_changed(kind, entries); },
+          config_.named.settings.drain_grace),
       clients_(io, timers_, std::make_shared<const Settings>(config_.named.settings), for_clients(config_),
                *this),
       control_(io, timers_, *this),
@@ -230,6 +232,7 @@
   for (const auto& l : leaving_) classes.push_back(l.cls), next = std::min(next, l.until);
   for (const auto& c : classes) metrics_.replies(c.name);
   upstream_.tune(settings->connect_timeout, config_.keep_alive);
+  discovery_.tune(settings->drain_grace);
   clients_.tune(settings);
   if (together_) settings_ = settings;
   happened(Retune{std::move(settings)});
--- a/tests/agent.hpp
+++ b/tests/agent.hpp
@@ -38,20 +38,37 @@
   // The connection of the n-th watch, once its request has come.
   std::shared_ptr<Wire> watch(std::size_t n = 1) {
     if (!loop.until([&] { return asked.size() >= n; })) return nullptr;
-    return agent.wires.back();
+    return watches[n - 1];
+  }
+  // And of the n-th question for the whole list, beside a watch.
+  std::shared_ptr<Wire> question(std::size_t n = 1) {
+    if (!loop.until([&] { return questions.size() >= n; })) return nullptr;
+    return questions[n - 1];
+  }
+  void came(Wire& w) {
+    const auto m = w.message();
+    if (m.empty()) return;
+    if (m.starts_with("GET /api/targets HTTP/1.1\r\n")) {
+      questions.push_back(w.shared_from_this());
+      if (on_question) on_question(w);
+    } else {
+      asked.push_back(m.substr(0, m.find("\r\n")));
+      watches.push_back(w.shared_from_this());
+      if (on_watch) on_watch(w);
+    }
   }
 
   Loop loop;
   Clock clock;
   Timers timers{loop.io, clock};
-  std::vector<std::string> asked;
+  std::vector<std::string> asked;  // request lines of watches, and any that are no questions
+  std::vector<std::shared_ptr<Wire>> watches, questions;
+  std::function<void(Wire&)> on_watch, on_question;
   std::vector<Update> told;
-  Peer agent{loop.io, [this](Wire& w) {
-               if (auto m = w.message(); !m.empty()) asked.push_back(m.substr(0, m.find("\r\n")));
-             }};
-  Discovery discovery{loop.io,    timers,
-                      agent.at(), agent.text(),
-                      {{"a", 0}}, [this](ListKind k, const auto& e) { told.push_back({k, e}); }};
+  Peer agent{loop.io, [this](Wire& w) { came(w); }};
+  Discovery discovery{loop.io,      timers,     agent.at(),
+                      agent.text(), {{"a", 0}}, [this](ListKind k, const auto& e) { told.push_back({k, e}); },
+                      Duration(1s)};
 };
 
 }  // namespace petrelrail::test
--- /dev/null
+++ b/tests/watch_crossing_test.cpp
@@ -0,0 +1,342 @@
+// The list of servers where a fault of the agent crosses another event: what it holds is learned in time at any phase.
+#include "agent.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+// The sums that PROTOCOL bounds stand as static_asserts beside the limits, in facts.hpp. Here: the sites' graces.
+constexpr bool fits(Duration grace) {
+  const auto limits = facts::agent_limits(grace);
+  return limits.answer + limits.pause < grace && limits.answer <= facts::kAgentAnswer &&
+         limits.pause <= facts::kAgentLongestPause;
+}
+static_assert(fits(1s) && fits(250ms) && fits(150ms) && fits(5s));
+static_assert(facts::agent_limits(0s).answer >= 20ms && facts::agent_limits(0s).pause >= 20ms);
+
+struct WatchCrossing : DiscoveryTest {
+  using Figure = std::uint64_t Discovery::Figures::*;
+  bool wait_for(Figure figure, std::uint64_t n) {
+    return loop.until([&] { return discovery.figures().*figure >= n; });
+  }
+  using DiscoveryTest::wait_for;
+  // What has come is read, as far as it has come.
+  void settle() {
+    for (int i = 0; i < 4; ++i) loop.io.restart(), loop.io.poll();
+  }
+  // Runs the loop for a time on the clock of the watch.
+  bool pass(Duration time) {
+    bool passed = false;
+    timers.after(time, [&] { passed = true; });
+    return loop.until([&] { return passed; });
+  }
+  // Sends one byte after the other without an end, on the same clock.
+  void dribble(const std::shared_ptr<Wire>& w, char c) {
+    if (w->ended) return;
+    w->send(chunk({c}));
+    timers.after(100ms, [this, w, c] { dribble(w, c); });
+  }
+  static std::string whole(int revision, const std::string& members) {
+    return http_answer("200 OK", list(revision, true, members) + "\n");
+  }
+};
+
+// ---- A watch that says nothing whole ------------------------------------------------------------------------------
+
+TEST_F(WatchCrossing, BesideAWatchWithItsHeadAloneTheListIsAskedFor) {
+  on_watch = [](Wire& w) { w.send(kHead); };
+  start();
+  const auto q = question();
+  ASSERT_NE(q, nullptr);
+  q->send(whole(50, member("s-0000000b")));
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(told[1].kind, ListKind::full);
+  EXPECT_EQ(discovery.revision(), 50U);
+  // The watch stays, and what it says later is taken. Once it has, no question goes out.
+  EXPECT_FALSE(watches[0]->ended);
+  watches[0]->send(chunk(list(51, false, member("s-0000000b", "DRAINING")) + "\n"));
+  ASSERT_TRUE(wait_for(3));
+  const auto asked_before = discovery.figures().questions;
+  ASSERT_TRUE(pass(3 * discovery.limits().answer));
+  EXPECT_EQ(discovery.figures().questions, asked_before);
+  EXPECT_EQ(discovery.figures().watches, 1U);
+}
+// An agent that has nothing to tell may say so 2 s after the head: its watch is kept.
+TEST_F(WatchCrossing, AnAgentWhoseFirstLineIsEmptyAndLateKeepsItsWatch) {
+  start();
+  watch()->send(kHead);
+  ASSERT_TRUE(pass(facts::kWatchLine));
+  EXPECT_EQ(discovery.figures().watches, 1U);
+  watches[0]->send(chunk("\n"));
+  ASSERT_TRUE(pass(facts::kWatchLine));
+  EXPECT_EQ(discovery.figures().watches, 1U);
+}
+TEST_F(WatchCrossing, AHeadAloneDoesNotKeepAWatch) {
+  on_watch = [](Wire& w) { w.send(kHead); };
+  start();
+  EXPECT_NE(watch(2), nullptr);
+}
+TEST_F(WatchCrossing, ADribbledHeadDoesNotKeepAWatch) {
+  start();
+  const auto w = watch();
+  w->send("HTTP/1.1 200 OK\r\nX: ");
+  std::function<void()> more = [&] {
+    if (!w->ended) w->send("x"), timers.after(100ms, more);
+  };
+  more();
+  EXPECT_NE(watch(2), nullptr);
+}
+TEST_F(WatchCrossing, BytesWithoutAnEndDoNotKeepAWatch) {
+  start();
+  watch()->send(kHead + chunk("{"));
+  dribble(watches[0], ' ');  // half a list
+  ASSERT_NE(watch(2), nullptr);
+  watches[1]->send(kHead + chunk("\n"));
+  dribble(watches[1], ' ');  // half an empty line, after a whole one
+  ASSERT_NE(watch(3), nullptr);
+  EXPECT_EQ(discovery.figures().lost + discovery.figures().unreadable, 0U);  // for silence, both
+}
+// Also where every watch is silent after its head, what the agent holds comes with the questions.
+TEST_F(WatchCrossing, WhereEveryWatchIsRefusedTheListIsStillLearned) {
+  on_watch = [](Wire& w) { w.send(http_answer("503 Service Unavailable")); };
+  on_question = [](Wire& w) { w.send(whole(50 + 1, member("s-0000000b"))); };
+  start();
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(discovery.revision(), 51U);
+  EXPECT_GT(discovery.figures().unreadable, 0U);
+}
+TEST_F(WatchCrossing, WhereEveryWatchBreaksInHalfALineTheListIsStillLearned) {
+  on_watch = [this](Wire& w) {
+    w.send(kHead + chunk(R"({"revision":60,)"));
+    const auto kept = w.shared_from_this();
+    timers.after(20ms, [kept] { kept->reset(); });
+  };
+  on_question = [](Wire& w) { w.send(whole(51, member("s-0000000b"))); };
+  start();
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(discovery.revision(), 51U);
+}
+
+// ---- The grace of the site ----------------------------------------------------------------------------------------
+
+TEST_F(WatchCrossing, LimitsFollowTheGraceAlsoAtHangUp) {
+  EXPECT_EQ(discovery.limits().answer, 500ms);
+  EXPECT_EQ(discovery.limits().pause, 250ms);
+  discovery.tune(150ms);
+  EXPECT_EQ(discovery.limits().answer, 75ms);
+  EXPECT_EQ(discovery.limits().pause, 37500us);
+  discovery.tune(10s);
+  EXPECT_EQ(discovery.limits().answer, facts::kAgentAnswer);
+  EXPECT_EQ(discovery.limits().pause, facts::kAgentLongestPause);
+}
+// The next question goes out beside the one before it, which may still be answered.
+TEST_F(WatchCrossing, QuestionsGoOutBesideAnAgentThatIsSilent) {
+  discovery.tune(150ms);
+  start();
+  ASSERT_TRUE(wait_for(&Discovery::Figures::questions, 1));
+  EXPECT_EQ(discovery.figures().silent, 0U);
+  EXPECT_EQ(discovery.figures().watches, 1U);
+  // Any of those that are open may be the one that is answered: here the oldest.
+  ASSERT_NE(watch(), nullptr);
+  watches[0]->send(kHead + chunk(list(50, true, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(2));
+  ASSERT_TRUE(loop.until([&] { return std::ranges::all_of(questions, [](auto& q) { return q->ended; }); }));
+  EXPECT_FALSE(watches[0]->ended);
+}
+TEST_F(WatchCrossing, AShorterGraceCountsForAQuestionThatWaits) {
+  start();
+  discovery.tune(100ms);
+  ASSERT_TRUE(wait_for(&Discovery::Figures::questions, 1));
+  EXPECT_EQ(discovery.figures().silent, 0U);  // the watch, which came before, has its 500 ms
+}
+// Slower than the time between two questions, and quick enough for the limit of one.
+TEST_F(WatchCrossing, ASlowAgentIsHeard) {
+  discovery.tune(80ms);
+  on_question = [this](Wire& w) {
+    const auto kept = w.shared_from_this();
+    timers.after(300ms, [kept] {
+      if (!kept->ended) kept->send(whole(50, member("s-0000000b")));
+    });
+  };
+  start();
+  EXPECT_TRUE(wait_for(2));
+}
+TEST_F(WatchCrossing, ConnectionsToASilentAgentAreFew) {
+  discovery.tune(0s);
+  start();
+  ASSERT_NE(question(20), nullptr);
+  settle();
+  EXPECT_LE(std::ranges::count_if(agent.wires, [](const auto& w) { return !w->ended; }),
+            static_cast<long>(facts::kAgentQuestions) + 1);  // one of these may just be coming
+}
+// An empty line as well says that all is well: what came before it lengthens no pause after it.
+TEST_F(WatchCrossing, AnEmptyLineEndsThePausesGrowth) {
+  on_watch = [this](Wire& w) {
+    if (watches.size() < 5) return w.reset();
+    w.send(kHead + chunk("\n"));
+  };
+  start();
+  ASSERT_NE(watch(5), nullptr);
+  settle();
+  const auto lost = discovery.figures().lost;
+  watches[4]->reset();
+  ASSERT_TRUE(wait_for(&Discovery::Figures::lost, lost + 1));
+  bool late = false;
+  timers.after((facts::kFirstBackoff + facts::kAgentLongestPause) / 2, [&] { late = true; });
+  ASSERT_TRUE(wait_for(&Discovery::Figures::watches, 6));
+  EXPECT_FALSE(late);
+}
+
+// ---- SIGHUP moves discovery -----------------------------------------------------------------------------------------
+
+struct WatchMoves : WatchCrossing {
+  WatchMoves() {
+    moved.on([this](Wire& w) {
+      const auto m = w.message();
+      if (m.empty()) return;
+      there.push_back(m.substr(0, m.find("\r\n")));
+      w.send(kHead + chunk(list(50, true, member("s-0000000b")) + "\n"));
+    });
+  }
+  // The list of the new agent is taken from its first watch, and the old agent is left.
+  void expect_moved() {
+    discovery.move(moved.at(), moved.text());
+    const auto before = asked.size() + questions.size();
+    ASSERT_TRUE(wait_for(2));
+    EXPECT_EQ(there, std::vector<std::string>{"GET /api/targets?watch=1&from=41 HTTP/1.1"});
+    EXPECT_EQ(told[1].entries.at(0).info.id, ServerId(11));
+    EXPECT_TRUE(
+        loop.until([&] { return std::ranges::all_of(agent.wires, [](auto& w) { return w->ended; }); }));
+    EXPECT_EQ(asked.size() + questions.size(), before);
+    ASSERT_TRUE(pass(2 * discovery.limits().answer));
+    EXPECT_EQ(there.size(), 1U);  // nothing is left that would ask once more
+    EXPECT_EQ(told.size(), 2U);
+  }
+  std::vector<std::string> there;
+  Peer moved{loop.io};
+};
+TEST_F(WatchMoves, WhileAListIsHalfRead) {
+  start();
+  watch()->send(kHead + chunk(R"({"revision":60,"members":[{"id":"s-)"));
+  settle();
+  expect_moved();
+}
+TEST_F(WatchMoves, WhileAPauseRuns) {
+  on_watch = [](Wire& w) { w.reset(); };
+  start();
+  ASSERT_TRUE(wait_for(&Discovery::Figures::lost, 3));
+  expect_moved();
+}
+TEST_F(WatchMoves, WhileAConnectIsOut) {
+  start();
+  expect_moved();
+}
+TEST_F(WatchMoves, WhileAQuestionIsOut) {
+  discovery.tune(150ms);
+  start();
+  ASSERT_NE(question(2), nullptr);
+  discovery.tune(1s);
+  expect_moved();
+}
+
+// ---- Versions -----------------------------------------------------------------------------------------------------
+
+TEST_F(WatchCrossing, AWholeListOfALowerVersionIsTaken) {
+  start();
+  watch()->send(kHead + chunk(list(60, true, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(2));
+  watches[0]->reset();  // the agent ends, and comes back knowing less
+  watch(2)->send(kHead + chunk(list(7, true, member("s-0000000c")) + "\n"));
+  ASSERT_TRUE(wait_for(3));
+  EXPECT_EQ(asked[1], "GET /api/targets?watch=1&from=60 HTTP/1.1");
+  EXPECT_EQ(told[2].kind, ListKind::full);
+  watches[1]->reset();
+  ASSERT_NE(watch(3), nullptr);
+  EXPECT_EQ(asked[2], "GET /api/targets?watch=1&from=7 HTTP/1.1");
+}
+// What a watch says late of a time before the list that came beside it would undo what is known.
+TEST_F(WatchCrossing, ChangesThatAListBesideHasOvertakenArePassedOver) {
+  on_watch = [](Wire& w) { w.send(kHead); };
+  start();
+  question()->send(whole(60, member("s-0000000a", "DRAINING")));
+  ASSERT_TRUE(wait_for(2));
+  watches[0]->send(chunk(list(59, false, member("s-0000000a")) + "\n"));
+  watches[0]->send(chunk(list(61, false, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(3));
+  EXPECT_EQ(told[2].entries.at(0).info.id, ServerId(11));
+  EXPECT_EQ(discovery.revision(), 61U);
+  EXPECT_EQ(discovery.figures().watches, 1U);
+  // A whole list is taken, whatever its version.
+  watches[0]->send(chunk(list(7, true, member("s-0000000c")) + "\n"));
+  ASSERT_TRUE(wait_for(4));
+  EXPECT_EQ(discovery.revision(), 7U);
+}
+TEST_F(WatchCrossing, AListMayBeCutInTwoAtAnyByte) {
+  start();
+  const auto w = watch();
+  w->send(kHead);
+  const auto text = list(50, false, member("s-0000000b", "DRAINING")) + "\n";
+  for (std::size_t n = 1; n < text.size(); ++n) {
+    const auto bytes = chunk(text);
+    w->send(bytes.substr(0, n));
+    settle();
+    w->send(bytes.substr(n));
+    ASSERT_TRUE(wait_for(n + 1)) << n;
+    EXPECT_EQ(told.back().entries.at(0).info.phase, Phase::draining);
+  }
+  EXPECT_EQ(discovery.figures().watches, 1U);
+}
+
+// ---- From the first moment, and what can't be read ----------------------------------------------------------------
+
+// Nothing listens at the start; later the agent does, and is asked without a word from anybody.
+TEST_F(WatchCrossing, AnAgentThatIsDownAtTheStartIsFound) {
+  agent.stop();
+  start();
+  ASSERT_TRUE(wait_for(&Discovery::Figures::lost, 4));
+  asio::basic_socket_acceptor<Tcp, Executor> acceptor(loop.io.get_executor(), agent.at());
+  std::shared_ptr<Wire> w;
+  acceptor.async_accept([&](const error_code& failed, Socket s) {
+    ASSERT_FALSE(failed);
+    w = std::make_shared<Wire>(std::move(s));
+    w->read();
+  });
+  ASSERT_TRUE(loop.until([&] { return w && !w->message().empty(); }));
+  w->send(kHead + chunk(list(50, true, member("s-0000000b")) + "\n"));
+  EXPECT_TRUE(wait_for(2));
+}
+TEST_F(WatchCrossing, WhatCannotBeReadIsPassedOver) {
+  const std::vector<std::string> bad{
+      "rubbish\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX: " + std::string(100000, 'x') + "\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      http_answer("404 Not Found", list(50, true, member("s-0000000b"))),
+      kHead + chunk("[]"),
+      kHead + chunk("{]"),
+      kHead + chunk("{}\n"),
+      kHead + chunk(R"({"revision":-1,"complete":true,"members":[]})"),
+      kHead + chunk(R"({"revision":50,"complete":"no","members":[]})"),
+      kHead + chunk(R"({"revision":50,"complete":false,"members":{}})"),
+      kHead + chunk("{\"a\":\"\n"),
+  };
+  on_watch = [&](Wire& w) { w.send(bad.at(std::min(watches.size(), bad.size()) - 1)); };
+  on_question = [&](Wire& w) { w.send(kHead + chunk(list(50, false, member("s-0000000b")))); };  // not whole
+  start();
+  ASSERT_NE(watch(bad.size() + 1), nullptr);
+  EXPECT_GE(discovery.figures().unreadable, bad.size());
+  EXPECT_EQ(told.size(), 1U);
+  EXPECT_EQ(discovery.revision(), 41U);
+}
+// What is under way when the list ends finds nobody.
+TEST_F(WatchCrossing, ItMayEndWhileConnectionsAreOut) {
+  auto other = std::make_unique<Discovery>(
+      loop.io, timers, agent.at(), agent.text(), std::map<std::string, std::uint32_t>{{"a", 0}},
+      [](auto, const auto&) {}, 100ms);
+  other->start(nlohmann::json::parse(list(41, true, member("s-0000000a"))));
+  ASSERT_NE(question(2), nullptr);
+  other.reset();
+  EXPECT_TRUE(loop.until([&] { return std::ranges::all_of(agent.wires, [](auto& w) { return w->ended; }); }));
+}
+
+}  // namespace
+}  // namespace petrelrail::test
