Settings that can't be used are turned down whole, with the key of the file named

Need: a file that holds a class, plan or limit of no use must change nothing at SIGHUP and end a start, and the log must name the key. Cause: read_settings() checked kinds, not values, and what validate() refused it named by members of Settings ("class read aim or deadline"), not by keys. Taken until now, as a trial run on the unchanged program showed for the first of these (its later cases ran under what it had taken): an on-time-ns of 2^63-1, past what the clock can be added to. By reading, also: connect-timeout-ns of 0 or less, a negative keepalive-ns, two classes, plans or zones of one name (the second was out of reach, and shifted the numbers of later zones), names that no path can hold, limits.sockets of 0, a negative tolerance. Ruled out: an unknown effect, a missing memory-span-ns and values of the wrong kind were turned down before.

Change: the reader checks the values and names the key; validate() stays as it was for settings that come by code. Left as they are: unknown words of discovery and weights, as later files may know more of them.

--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -2,6 +2,7 @@
 // field.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -75,6 +76,32 @@
 inline bool truth(const json& o, const char* k) { return truth_of(field(o, k), k); }
 inline const std::string& text(const json& o, const char* k) { return text_of(field(o, k), k); }
 inline Duration nanos(const json& o, const char* k) { return Duration(integer(o, k)); }
+// A time that can be waited for: above 0, and so that some of them can be added to the clock's.
+inline Duration wait_nanos(const json& o, const char* k) {
+  const auto d = nanos(o, k);
+  if (d <= Duration{} || d > Duration::max() / 4) wrong(k, "a time above 0 that can be waited for");
+  return d;
+}
+inline Duration nanos_0_or_more(const json& o, const char* k) {
+  const auto d = nanos(o, k);
+  if (d < Duration{}) wrong(k, "a time of 0 or more");
+  return d;
+}
+inline double number_0_or_more(const json& o, const char* k) {
+  const auto n = number(o, k);
+  if (n < 0) wrong(k, "a number of 0 or more");
+  return n;
+}
+inline double number_above_0(const json& o, const char* k) {
+  const auto n = number(o, k);
+  if (n <= 0) wrong(k, "a number above 0");
+  return n;
+}
+inline std::uint32_t small_above_0(const json& o, const char* k) {
+  const auto n = small(o, k);
+  if (n == 0) wrong(k, "a whole number above 0");
+  return n;
+}
 inline double number_or_0(const json& o, const char* k) {
   const auto* v = optional_field(o, k);
   return v ? number_of(*v, k) : 0.0;
@@ -114,11 +141,22 @@
   Names names;
 };
 
+// The next number for a name: what has a name of its own can be told apart by it.
+inline void number_next(std::map<std::string, std::uint32_t>& index, const std::string& name,
+                        const char* key) {
+  if (!index.emplace(name, index.size()).second)
+    throw FieldError(std::string("field '") + key + "' names '" + name + "' twice");
+}
 inline std::map<std::string, std::uint32_t> numbered(const json& names, const char* key) {
   std::map<std::string, std::uint32_t> index;
-  for (const auto& n : list_of(names, key)) index.emplace(text_of(n, key), index.size());
+  for (const auto& n : list_of(names, key)) number_next(index, text_of(n, key), key);
   return index;
 }
+inline const json& filled_list(const json& o, const char* key) {
+  const auto& list = list_of(field(o, key), key);
+  if (list.empty()) wrong(key, "a list with an entry");
+  return list;
+}
 inline std::uint32_t index_of(const std::map<std::string, std::uint32_t>& names, const json& o,
                               const char* key) {
   const auto it = names.find(text(o, key));
@@ -133,13 +171,16 @@
       {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}};
   RequestClass c;
   c.name = text(g, "name");
-  c.worth = number(g, "gain");
+  // It is the first part of a request's path.
+  const auto ends_part = [](char x) { return x == '/' || x == '?' || static_cast<unsigned char>(x) <= ' '; };
+  if (c.name.empty() || std::ranges::any_of(c.name, ends_part)) wrong("name", "a part of a path");
+  c.worth = number_0_or_more(g, "gain");
   c.late_worth = number(g, "late-worth");
-  c.aim = nanos(g, "on-time-ns");
-  c.deadline = nanos(g, "hard-limit-ns");
+  c.aim = wait_nanos(g, "on-time-ns");
+  c.deadline = wait_nanos(g, "hard-limit-ns");
   c.effect = named(g, "idempotency", effects);
   c.group = named(g, "group", groups);
-  c.memory_span = nanos(g, "memory-span-ns");
+  c.memory_span = nanos_0_or_more(g, "memory-span-ns");
   c.streamed = truth(g, "streamed");
   return c;
 }
@@ -147,11 +188,14 @@
 inline Plan plan(const json& p) {
   Plan q;
   q.name = text(p, "name");
-  q.rate = number(p, "units-per-s");
-  q.burst = number(p, "store-size");
-  q.ceiling_rate = number(p, "ceiling-rate");
-  q.ceiling_burst = number(p, "cap-depth");
-  q.ceiling_slack = number(p, "tolerance");
+  if (q.name.empty()) wrong("name", "a plan's name");
+  q.rate = number_0_or_more(p, "units-per-s");
+  q.burst = number_0_or_more(p, "store-size");
+  q.ceiling_rate = number_0_or_more(p, "ceiling-rate");
+  q.ceiling_burst = number_0_or_more(p, "cap-depth");
+  q.ceiling_slack = number_0_or_more(p, "tolerance");
+  if (q.rate > 0 && q.burst <= 0) wrong("store-size", "above 0 with units-per-s");
+  if (q.ceiling_rate > 0 && q.ceiling_burst <= 0) wrong("cap-depth", "above 0 with ceiling-rate");
   q.max_open = small(p, "max-out");
   q.price = number(p, "value-factor");
   q.over_worth = number(p, "over-worth");
@@ -168,36 +212,37 @@
   auto& s = named_settings.settings;
   auto& [classes, plans, zones] = named_settings.names;
   zones = numbered(field(f, "zones"), "zones");
-  for (const auto& g : list_of(field(f, "grades"), "grades")) {
+  for (const auto& g : filled_list(f, "grades")) {
     s.classes.push_back(request_class(object_of(g, "grades")));
-    classes.emplace(s.classes.back().name, classes.size());
+    number_next(classes, s.classes.back().name, "grades");
   }
-  for (const auto& p : list_of(field(f, "packages"), "packages")) {
+  for (const auto& p : filled_list(f, "packages")) {
     s.plans.push_back(plan(object_of(p, "packages")));
-    plans.emplace(s.plans.back().name, plans.size());
+    number_next(plans, s.plans.back().name, "packages");
   }
-  s.fleet_size = small(f, "fleet-size");
+  s.fleet_size = small_above_0(f, "fleet-size");
   s.index = small(f, "index");
   s.zone = ZoneIndex(index_of(zones, f, "az"));
-  s.max_attempts = small(limits, "max-attempts");
+  s.max_attempts = small_above_0(limits, "max-attempts");
   s.second_copies = truth(limits, "second-copies");
   s.cancel = truth(limits, "cancel");
   s.probes = truth(limits, "probes");
   s.retry_after = truth(limits, "retry-after");
-  s.max_retry_after = nanos(limits, "max-retry-after-ns");
-  s.connect_timeout = nanos(limits, "connect-timeout-ns");
+  s.max_retry_after = nanos_0_or_more(limits, "max-retry-after-ns");
+  s.connect_timeout = wait_nanos(limits, "connect-timeout-ns");
   s.counter = truth(extra, "counter");
-  s.counter_timeout = nanos(extra, "count-limit-ns");
+  s.counter_timeout = s.counter ? wait_nanos(extra, "count-limit-ns") : nanos(extra, "count-limit-ns");
   s.counter_price = number(extra, "counter-price");
-  s.max_units = number(extra, "max-units");
+  s.max_units = number_above_0(extra, "max-units");
   s.settled_after = truth(extra, "trued-up");
-  s.answer_slack = nanos(safety, "answer-slack-ns");
-  s.drain_grace = nanos(safety, "drain-grace-ns");
-  s.fall_multiple = number(safety, "fall-multiple");
-  s.fall_time = nanos(safety, "fall-ns");
-  s.start_capacity = number(safety, "start-capacity");
-  s.warm_within = nanos(safety, "warm-within-ns");
-  s.cross_zone_price = number(prices, "cross-zone");
+  s.answer_slack = nanos_0_or_more(safety, "answer-slack-ns");
+  s.drain_grace = nanos_0_or_more(safety, "drain-grace-ns");
+  s.fall_multiple = number_0_or_more(safety, "fall-multiple");
+  s.fall_time = nanos_0_or_more(safety, "fall-ns");
+  s.start_capacity = number_above_0(safety, "start-capacity");
+  if (s.start_capacity > 1) wrong("start-capacity", "a part of 1");
+  s.warm_within = nanos_0_or_more(safety, "warm-within-ns");
+  s.cross_zone_price = number_0_or_more(prices, "cross-zone");
   s.probe_price = number(prices, "probe");
   s.handshake_price = number_or_0(prices, "handshake");
   s.discovery_must_ask = text(f, "discovery") == "ask";
--- /dev/null
+++ b/tests/process_settings_test.cpp
@@ -0,0 +1,154 @@
+// The real program and what it must turn down: settings that can't be used, and calls that are none.
+#include <cstdlib>
+
+#include "crossing.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+// ---- Settings that can't be used --------------------------------------------------------------------------------
+
+struct BadSettings : Crossing {
+  struct Case {
+    std::string key;
+    std::function<void(json& config)> change;
+  };
+  static std::vector<Case> cases() {
+    std::vector<Case> all;
+    const auto with = [&](const std::string& at, const json& value, std::string key = "") {
+      if (key.empty()) key = at.substr(at.rfind('/') + 1);
+      all.push_back({key, [at, value](json& c) { c["settings"][json::json_pointer(at)] = value; }});
+    };
+    const auto twice = [&](const std::string& part) {
+      all.push_back({part, [part](json& c) { c["settings"][part].push_back(c["settings"][part][0]); }});
+    };
+    const auto without = [&](const std::string& part, const std::string& key) {
+      all.push_back({key, [part, key](json& c) { c["settings"][json::json_pointer(part)].erase(key); }});
+    };
+    const std::string cls = "/grades/0/", plan = "/packages/0/", ceilings = "/ceilings/";
+    with(cls + "idempotency", "sometimes");
+    with(cls + "idempotency", 1);
+    with(cls + "group", "county");
+    for (const auto* key : {"hard-limit-ns", "on-time-ns"})
+      for (const json& value : {json(0), json(-1), json("soon"), json(1.5), json(INT64_MAX)})
+        with(cls + key, value);
+    with(cls + "memory-span-ns", -1);
+    with(cls + "gain", -1);
+    for (const auto* name : {"", "a/b", "a?b", "a b"}) with(cls + "name", name);
+    all.push_back({"memory-span-ns", [](json& c) {
+                     auto& g = c["settings"]["grades"][0];
+                     g["idempotency"] = "keyed", g.erase("memory-span-ns");
+                   }});
+    twice("grades"), twice("packages"), twice("zones");
+    with("/grades", json::array(), "grades");
+    with("/packages", json::array(), "packages");
+    for (const auto* key : {"units-per-s", "store-size", "ceiling-rate", "cap-depth", "tolerance"})
+      with(plan + key, -1);
+    with(plan + "store-size", 0);
+    with(plan + "max-out", -1);
+    with(plan + "name", "");
+    for (const json& value : {json(0), json(-1), json("three"), json(1ULL << 32U)})
+      with(ceilings + "max-attempts", value);
+    for (const json& value : {json(0), json(-1), json("soon"), json(INT64_MAX)})
+      with(ceilings + "connect-timeout-ns", value);
+    with(ceilings + "keepalive-ns", -1);
+    with(ceilings + "max-retry-after-ns", -1);
+    without("/ceilings", "connect-timeout-ns");
+    with("/extra/count-limit-ns", 0);
+    with("/extra/max-units", 0);
+    with("/safety/start-capacity", 0);
+    with("/safety/warm-within-ns", -1);
+    with("/safety/drain-grace-ns", -1);
+    with("/fleet-size", 0);
+    all.push_back({"sockets", [](json& c) { c["limits"]["sockets"] = 0; }});
+    all.push_back({"sockets", [](json& c) { c["limits"]["sockets"] = "many"; }});
+    return all;
+  }
+};
+TEST_F(BadSettings, AreTurnedDownWholeAtHangUpWithTheKeyNamed) {
+  run();
+  ASSERT_TRUE(up());
+  int failures = 0;
+  // What the log says of the configuration, a line each.
+  const auto said = [&] {
+    std::vector<std::string> lines;
+    std::istringstream text(log());
+    for (std::string line; std::getline(text, line);)
+      if (line.find("configuration") != std::string::npos) lines.push_back(line);
+    return lines;
+  };
+  std::size_t seen = 0;
+  for (const auto& [key, change] : cases()) {
+    auto bad = config;
+    change(bad);
+    std::ofstream(dir / "config.json") << bad;
+    kill(child, SIGHUP);
+    ASSERT_TRUE(loop.until([&] { return said().size() > seen; })) << key;
+    const auto line = said().at(seen++);
+    const auto text = bad["settings"].dump();
+    EXPECT_NE(line.find("stays as it was"), std::string::npos) << key << ": " << line << text;
+    EXPECT_NE(line.find("'" + key + "'"), std::string::npos) << key << ": " << line << text;
+    EXPECT_EQ(figure("node_reload_failure"), std::to_string(++failures)) << key;
+    const auto w = loop.connect(listen);
+    w->send(ProcessTest::ask());
+    EXPECT_EQ(answered(w), 200) << key;
+    w->close();
+  }
+  EXPECT_EQ(figure("node_reload_success"), "0");
+}
+TEST_F(BadSettings, EndAStartWithTheKeyNamed) {
+  const auto good = config;
+  for (const auto& [key, change] : cases()) {
+    std::filesystem::remove(dir / "log");
+    config = good;
+    change(config);
+    run();
+    EXPECT_EQ(exit_status(), EXIT_FAILURE) << key << config["settings"];
+    EXPECT_NE(log().find("'" + key + "'"), std::string::npos) << key << ": " << log() << config["settings"];
+    EXPECT_EQ(std::ranges::count(log(), '\n'), 1) << log();
+    if (child > 0) kill(child, SIGKILL), waitpid(child, nullptr, 0), child = 0;
+  }
+}
+
+// ---- Calls that are none ----------------------------------------------------------------------------------------
+
+TEST_F(Crossing, ControlCallsThatAreNoneAreAnsweredOrEndAndHoldUpNobody) {
+  run();
+  ASSERT_TRUE(up());
+  const auto status = [&](const std::string& words) {
+    const auto text = call(words);
+    return text.size() > 12 ? std::stoi(text.substr(9, 3)) : 0;
+  };
+  const std::string rest = " HTTP/1.1\r\nHost: x\r\n";
+  const auto refused = [](int s) { return s == 0 || (s >= 400 && s < 500); };
+  // More than may be connected at once, each with half a head and then silence.
+  std::vector<std::shared_ptr<Wire>> halves;
+  for (int i = 0; i < 40; ++i) halves.push_back(loop.connect(control)), halves.back()->send("GET /metr");
+  EXPECT_TRUE(figures().starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(refused(status("GET /metrics" + rest + "X: " + std::string(20000, 'x') + "\r\n\r\n")));
+  EXPECT_TRUE(refused(status("GET /" + std::string(20000, 'x'))));
+  EXPECT_TRUE(refused(
+      status("POST /price-servers/disable?who=s-00000001" + rest + "Content-Length: 999999999\r\n\r\n")));
+  EXPECT_EQ(status("POST /metrics" + rest + "\r\n"), 405);
+  EXPECT_EQ(status("GET /price-servers/disable?who=s-00000001" + rest + "\r\n"), 405);
+  EXPECT_EQ(status("BREW /metrics" + rest + "\r\n"), 405);
+  EXPECT_EQ(status("GET /no-such" + rest + "\r\n"), 404);
+  EXPECT_EQ(status("GET /metrics/" + rest + "\r\n"), 404);
+  EXPECT_EQ(status("POST /price-servers/disable" + rest + "\r\n"), 400);
+  EXPECT_EQ(status("POST /price-servers/disable?who=%zz" + rest + "\r\n"), 400);
+  EXPECT_EQ(status(std::string("\0\r\n\r\n", 5)), 400);
+  EXPECT_EQ(status("\x16\x03\x01 not this protocol\r\n\r\n"), 400);
+  const auto gone = loop.connect(control);
+  gone->send("GET /met", true);
+  EXPECT_TRUE(loop.until([&] { return gone->ended; }));
+  EXPECT_TRUE(
+      loop.until([&] { return std::ranges::all_of(halves, [](const auto& w) { return w->ended; }); }));
+  for (const auto& w : halves) EXPECT_TRUE(w->in.empty() || w->in.starts_with("HTTP/1.1 408 ")) << w->in;
+  EXPECT_TRUE(figures().starts_with("HTTP/1.1 200 "));
+  const auto w = loop.connect(listen);
+  w->send(ProcessTest::ask());
+  EXPECT_TRUE(served(w));
+}
+
+}  // namespace
+}  // namespace petrelrail::test
