--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -378,7 +378,10 @@
   if (kind != ListKind::changes) upstream_.retain(update.entries);
   for (const auto& e : entries)
     upstream_.update(e.info.id, e.address, e.info.phase == Phase::ready, e.info.started);
-  knows_servers_ = knows_servers_ || !entries.empty();
+  // Those that drain or are gone take no requests: with them alone nobody could be served.
+  knows_servers_ = knows_servers_ || std::ranges::any_of(entries, [](const Discovery::Entry& e) {
+                     return e.info.phase == Phase::ready;
+                   });
   happened(std::move(update));
 }
 
