SIGTERM: whatever time a client has given, it has its final answer before SIGKILL

Need: requests out at SIGTERM get a final answer before the longest deadline and 0.7 s, and the process ends by itself. Cause: Node::wait_until_drained (node.cpp:255) waits for all that is open, and the time of a request that came before SIGTERM or within 600 ms after it is its client's X-Timeout-Ms, up to an hour; Clients::end_in_time cuts later ones only. Ruled out: SIGTERM twice, right after or before SIGHUP, with hanging servers, and with a deadline of 300 ms, where the client's time is no longer than the class's: all pass without a change.

Change: 0.1 s before that bound (facts kKillAfterTerm, kLastWord, as for late requests) what has no answer is answered 504, its attempts are given up, and no attempt is waited for. An answer that is on its way goes on.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -249,12 +249,32 @@
     drains_until_ = timers_.now() + facts::kGivingOn;
   }
   if (peers_ && !succeeded_) peers_->leave();
+  Duration longest{};
+  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+  for (const auto& l : leaving_) longest = std::max(longest, l.cls.deadline);
+  timers_.after(std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord,
+                [this] { give_up(); });
   wait_until_drained();
 }
 
+// What SIGKILL finds unanswered is lost, however long its client would wait: it has its final answer now, and an
+// attempt that is still out is waited for no more. An answer that is on its way goes on.
+void Node::give_up() {
+  gave_up_ = true;
+  std::vector<RequestId> unanswered;
+  for (const auto& [id, o] : open_)
+    if (o.asker && !o.streams) unanswered.push_back(id);
+  for (const auto id : unanswered) {
+    finish(id, &Metrics::Replies::error,
+           {http::status::gateway_timeout, "this process ends\n", "text/plain", {}});
+    happened(ClientGone{id});
+  }
+}
+
 void Node::wait_until_drained() {
   const bool given_on = !together_ || succeeded_ || together_->resigned() || timers_.now() >= drains_until_;
-  if (open_.empty() && clients_.drained() && given_on) return drained_();
+  const bool answered = open_.empty() || (gave_up_ && concurrent_ == 0);
+  if (answered && clients_.drained() && given_on) return drained_();
   timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -126,6 +126,7 @@
   void serve_in_any_case();
   void join(const nlohmann::json* predecessor);
   void wait_until_drained();
+  void give_up();
   void limit_descriptors(std::size_t taken_by_clients, std::size_t taken_by_servers);
   std::unique_ptr<Counter> new_counter();
 
@@ -163,6 +164,7 @@
   Descriptor inherited_;                      // the listening socket, until this process serves
   bool serves_ = false;                       // clients' connections are accepted here
   bool succeeded_ = false;                    // a successor accepts them
+  bool gave_up_ = false;                      // the end can't wait for answers any more
 };
 
 }  // namespace petrelrail
--- a/tests/process_crossing_test.cpp
+++ b/tests/process_crossing_test.cpp
@@ -275,6 +275,13 @@
   EXPECT_GE(answered(w), 400);
   EXPECT_EQ(exit_status(), 0) << log();
 }
+// SIGKILL comes by the longest deadline of the settings, whatever time a client has given.
+TEST_F(Signals, TermAnswersARequestWhoseClientWouldWaitForLonger) {
+  ASSERT_NO_FATAL_FAILURE(hold("3600000"));
+  kill(child, SIGTERM);
+  EXPECT_GE(answered(w), 400);
+  EXPECT_EQ(exit_status(), 0) << log();
+}
 TEST_F(Signals, TermWithADeadlineShorterThanTheDrain) {
   config["settings"]["grades"][0]["hard-limit-ns"] = 300000000;
   config["settings"]["grades"][0]["on-time-ns"] = 200000000;
