--- a/src/policy/servers.hpp
+++ b/src/policy/servers.hpp
@@ -16,6 +16,7 @@
 constexpr Duration kFirstEjection = 400ms;  // first time out of the choice; doubles while it goes on failing
 constexpr Duration kLongestEjection = 5s;   // longer would waste a server that came back
 constexpr double kColdPush = 0.6;     // of the multiple of its capacity that a cold server bears, sent to it
+constexpr double kFirstTries = 2;     // gateways of a fleet that try a server at once when all put it back
 constexpr Duration kFirstBound = 5s;  // until a server is tried with a connection more than it took
 constexpr Duration kLongestBound = 40s;  // the same when that has failed again and again
 constexpr Duration kAnswersStill = 1s;   // a server that answered so lately is not dead
@@ -82,11 +83,12 @@
   }
 
   // Out by hand is kept by id, apart from the list and from health, so that neither clears it. One put back
-  // has been restarted meanwhile: it starts cold, with a send saved up so that it is tried soon.
+  // has been restarted meanwhile: it starts cold, at a few gateways with a send saved up to try it soon.
   void leave_out(const LeaveOut& e) {
     if (e.out) return void(left_out_.insert(e.server));
     auto* s = left_out_.erase(e.server) > 0 ? find(all, e.server) : nullptr;
-    if (s) start_cold(*s, turn_.now), s->credit = 1;
+    if (s) start_cold(*s, turn_.now);
+    if (s && turn_.random() * turn_.set.fleet_size < kFirstTries) s->credit = 1;
   }
 
   ServerCounts counts(Time now) const {
