Descriptors: shares are taken of the system's limit where it is below the one told

Seen: Full.ALimitBelowTheOneToldLeavesClientsServed failed once in a run of all tests (a client unserved at 1024 told, 128 given). At fault: read_config, which took limits.sockets as it was; Upstream::room_for_one_more then holds descriptors for free that the system refuses, and a request finds no connection unless one idles. Change: the lesser of the two.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,4 +1,6 @@
 // The edge node's process: command line, configuration, signals, wiring.
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -58,6 +60,12 @@
   return t;
 }
 
+// The shares of clients and servers are taken of what the system gives, where that is less than what is told.
+std::size_t within_system(std::size_t told) {
+  rlimit system{};
+  return ::getrlimit(RLIMIT_NOFILE, &system) == 0 ? std::min<std::size_t>(told, system.rlim_cur) : told;
+}
+
 struct Configuration {
   json file;
   NodeConfig node;
@@ -167,7 +175,7 @@
   c.discovery_host = text(config, "discovery");
   c.discovery = address(c.discovery_host, "discovery");
   const auto& limits = object_of(field(config, "limits"), "limits");
-  c.descriptors = small_above_0(limits, "sockets");
+  c.descriptors = within_system(small_above_0(limits, "sockets"));
   c.seed = hex(config, "seed");
   c.known = object_of(field(config, "known"), "known");
   const auto& settings = object_of(field(config, "settings"), "settings");
