Accepting goes on when a session can be given up again, not only when one ends

Seen: Full.MoreClientsThanFitThatAskAtOnceAreAnsweredOrClosed failed within six runs in a row: clients waited unaccepted after every request had its answer (loop of 30 s ran out). At fault: Clients::accept stops where nobody can be given up, and only Clients::forget began it anew; a session that has its answer and stays open did not. Change: ClientSession::on_written and end_politely begin it too.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -414,6 +414,7 @@
   enter(Stage::reading);
   parse();
   read();
+  clients_.may_accept();
 }
 
 bool ClientSession::waits() {
@@ -434,6 +435,7 @@
   came_ = 0;
   enter(Stage::lingering);
   read();
+  clients_.may_accept();
 }
 
 // For its descriptor, which is needed now: what lies unread is read, so that the close is no reset where it can be none.
@@ -531,7 +533,7 @@
 void Clients::accept() {
   if (retired_) return;
   accepts_ = sessions_.size() < most_sessions_ || owner_.could_lend() || longest_silent();
-  if (!accepts_) return;  // goes on when a session ends
+  if (!accepts_) return;  // goes on when a session ends, or holds nothing that was taken
   acceptor_.async_accept([this](const error_code& failed, Socket socket) {
     if (failed == asio::error::operation_aborted) return;
     if (failed) {
@@ -571,6 +573,10 @@
 
 void Clients::forget(const std::shared_ptr<ClientSession>& session) {
   sessions_.erase(session);
+  may_accept();
+}
+
+void Clients::may_accept() {
   if (!accepts_) accept();
 }
 
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -175,6 +175,7 @@
   std::shared_ptr<ClientSession> longest_silent() const;
   void sweep();
   void forget(const std::shared_ptr<ClientSession>& session);
+  void may_accept();  // a session has ended, or can be given up now
 
   asio::io_context& io_;
   Timers& timers_;
