--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -343,6 +343,7 @@
   if (stage_ != Stage::waiting) return;
   enter(Stage::streaming);
   chunked_ = !head.length && modern_;
+  framed_ = chunked_ || head.length;
   if (clients_.draining_ || clients_.retired_ || (!head.length && !chunked_)) keep_alive_ = false;
   out_ = head_of(http::status::ok, head.content_type, head.length, chunked_, keep_alive_) + "\r\n";
 }
@@ -371,7 +372,12 @@
 void ClientSession::cut_off() {
   request_ = 0;
   if (stage_ != Stage::streaming) return;
-  // Also where the end of the connection would be the end of the answer.
+  keep_alive_ = false;
+  if (framed_) {  // its end is missing, which tells; a reset would take with it what the client has not read
+    enter(Stage::writing);
+    return write_some();
+  }
+  // The end of the connection would be the end of the answer.
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   close();
@@ -408,6 +414,7 @@
   enter(Stage::reading);
   parse();
   read();
+  clients_.may_accept();
 }
 
 bool ClientSession::waits() {
@@ -428,6 +435,7 @@
   came_ = 0;
   enter(Stage::lingering);
   read();
+  clients_.may_accept();
 }
 
 // For its descriptor, which is needed now: what lies unread is read, so that the close is no reset where it can be none.
@@ -525,7 +533,7 @@
 void Clients::accept() {
   if (retired_) return;
   accepts_ = sessions_.size() < most_sessions_ || owner_.could_lend() || longest_silent();
-  if (!accepts_) return;  // goes on when a session ends
+  if (!accepts_) return;  // goes on when a session ends, or holds nothing that was taken
   acceptor_.async_accept([this](const error_code& failed, Socket socket) {
     if (failed == asio::error::operation_aborted) return;
     if (failed) {
@@ -565,6 +573,10 @@
 
 void Clients::forget(const std::shared_ptr<ClientSession>& session) {
   sessions_.erase(session);
+  may_accept();
+}
+
+void Clients::may_accept() {
   if (!accepts_) accept();
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,8 +26,10 @@
       upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive, for_servers(config_),
                 *this),
       gateway_(config_.named.settings, config_.seed, &upstream_),
-      discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
-                 [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
+      discovery_(
+          io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
+          [this](ListKind kind, const auto& entries) { list_changed(kind, entries); },
+          config_.named.settings.drain_grace),
       clients_(io, timers_, std::make_shared<const Settings>(config_.named.settings), for_clients(config_),
                *this),
       control_(io, timers_, *this),
@@ -230,6 +232,7 @@
   for (const auto& l : leaving_) classes.push_back(l.cls), next = std::min(next, l.until);
   for (const auto& c : classes) metrics_.replies(c.name);
   upstream_.tune(settings->connect_timeout, config_.keep_alive);
+  discovery_.tune(settings->drain_grace);
   clients_.tune(settings);
   if (together_) settings_ = settings;
   happened(Retune{std::move(settings)});
@@ -249,12 +252,32 @@
     drains_until_ = timers_.now() + facts::kGivingOn;
   }
   if (peers_ && !succeeded_) peers_->leave();
+  Duration longest{};
+  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+  for (const auto& l : leaving_) longest = std::max(longest, l.cls.deadline);
+  timers_.after(std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord,
+                [this] { give_up(); });
   wait_until_drained();
 }
 
+// What SIGKILL finds unanswered is lost, however long its client would wait: it has its final answer now, and an
+// attempt that is still out is waited for no more. An answer that is on its way goes on.
+void Node::give_up() {
+  gave_up_ = true;
+  std::vector<RequestId> unanswered;
+  for (const auto& [id, o] : open_)
+    if (o.asker && !o.streams) unanswered.push_back(id);
+  for (const auto id : unanswered) {
+    finish(id, &Metrics::Replies::error,
+           {http::status::gateway_timeout, "this process ends\n", "text/plain", {}});
+    happened(ClientGone{id});
+  }
+}
+
 void Node::wait_until_drained() {
   const bool given_on = !together_ || succeeded_ || together_->resigned() || timers_.now() >= drains_until_;
-  if (open_.empty() && clients_.drained() && given_on) return drained_();
+  const bool answered = open_.empty() || (gave_up_ && concurrent_ == 0);
+  if (answered && clients_.drained() && given_on) return drained_();
   timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
 }
 
@@ -383,7 +406,10 @@
   if (kind != ListKind::changes) upstream_.retain(update.entries);
   for (const auto& e : entries)
     upstream_.update(e.info.id, e.address, e.info.phase == Phase::ready, e.info.started);
-  knows_servers_ = knows_servers_ || !entries.empty();
+  // Those that drain or are gone take no requests: with them alone nobody could be served.
+  knows_servers_ = knows_servers_ || std::ranges::any_of(entries, [](const Discovery::Entry& e) {
+                     return e.info.phase == Phase::ready;
+                   });
   happened(std::move(update));
 }
 
