Descriptors: of a small limit the node keeps half for itself, and clients and servers share the rest

Seen: ProcessTest.SurvivesALackOfDescriptors (limit 40) failed once shares followed the system's limit: 46 are kept for the node's own, so one was left for clients and none for price servers. At fault: for_peers, which gave 1 where the limit is under what the node keeps at most. Change: it keeps half there.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,9 +7,10 @@
 namespace petrelrail {
 namespace {
 
+// What is kept for the node's own is the most it can need: of a small limit half, as it seldom needs that.
 std::size_t for_peers(const NodeConfig& c) {
   const auto own = facts::kOwnDescriptors + facts::kCounterLinks + (c.peers ? 1 : 0);
-  return c.descriptors > own ? c.descriptors - own : 1;
+  return std::max<std::size_t>(1, c.descriptors - std::min(own, c.descriptors / 2));
 }
 std::size_t for_clients(const NodeConfig& c) {
   return std::max<std::size_t>(
