Counter: one whose every call takes longer than its time-out is waited for

At fault: Counter::Link::ask, which gave every call up after the settings' time; the protocol sets the counter's callers none, and any total that can be read is true. Change: each connection learns what its quickest answers of late took, late ones too, and a call is given up after half as long again, never before the settings' time nor after four of it. Test: CounterTest.ACounterThatTakesLongerThanItsTimeForEachCallIsWaitedFor.

--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -96,12 +96,21 @@
                                 static_cast<int>(name.size()), name.data(), amount,
                                 static_cast<long long>(std::max<decltype(life)>(life, 1)));
     c.line.assign(line.data(), static_cast<std::size_t>(n));
-    c.limit = timers_.after(timeout_,
+    c.limit = timers_.after(patience(),
                             [self = shared_from_this(), number = c.number] { self->overdue(number); });
     waiting_.push_back(std::move(c));
     flush();
   }
 
+  // The counter sets its callers no time-out, and a late answer is as true as any. Where even the quickest of late takes
+  // longer than the settings' time, it is slow by nature: calls are given up after half as long again.
+  Duration patience() const {
+    return std::clamp(usual_ + usual_ / 2, timeout_, facts::kCounterConnect * timeout_);
+  }
+  void learn(Duration took) {
+    usual_ = usual_ == Duration{} || took < usual_ ? took : usual_ + (took - usual_) / kUsualRise;
+  }
+
   void tell(Call& c, CountOutcome outcome, double total = 0) {
     timers_.cancel(c.limit);
     if (std::exchange(c.told, true) || c.ping) return;
@@ -171,6 +180,7 @@
       if (c.ping ? line == "pong" : line == "busy" || line == "error") {
         tell(c, CountOutcome::refused);
       } else if (!c.ping && line.starts_with("ok ") && number(line.substr(3), total)) {
+        learn(timers_.now() - c.began);
         tell(c, CountOutcome::ok, total);
       } else {
         tell(c, CountOutcome::timeout);
@@ -226,7 +236,9 @@
 
   Timers& timers_;
   Tcp::endpoint at_;
+  static constexpr int kUsualRise = 32;  // a time that was quicker is forgotten over so many answers
   Duration timeout_;
+  Duration usual_{};  // what an answer takes that finds no line, 0 before the first one
   Told told_;
   Socket socket_;
   Stage stage_ = Stage::connecting;
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -86,6 +86,28 @@
   ASSERT_TRUE(wait_for(1));
   EXPECT_EQ(told[0].outcome, CountOutcome::refused);
 }
+// One that is slow by nature: its first answer comes after the settings' time, and teaches how long to wait for the next.
+TEST_F(CounterTest, ACounterThatTakesLongerThanItsTimeForEachCallIsWaitedFor) {
+  std::shared_ptr<Wire> asked;
+  Peer server(loop.io, [&](Wire& w) {
+    if (w.line().starts_with("incr")) asked = w.shared_from_this();
+  });
+  start(server.at(), 500ms);
+  const auto answered_after = [&](Duration pause) {
+    asked.reset();
+    timers.after(pause, [&] { asked->send("ok 2\r\n"); });
+    call(1);
+  };
+  answered_after(1500ms);
+  ASSERT_TRUE(wait_for(1));
+  EXPECT_EQ(told[0].outcome, CountOutcome::timeout);
+  bool over = false;
+  timers.after(1700ms, [&] { over = true; });  // the late one has come
+  ASSERT_TRUE(loop.until([&] { return over; }));
+  answered_after(600ms);
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(told[1].outcome, CountOutcome::ok);
+}
 // Answers come in the order of the calls: the late answer of a call that was given up is not the next one's.
 TEST_F(CounterTest, LateAnswerIsConsumed) {
   std::shared_ptr<Wire> w;
