Pace of calls: an answer past the time-out shows a line only by what it took beyond the usual

At fault: CounterPace::learn, which held the whole time of an answer against the time-out. Change: where even the three quickest take longer than the time-out, only what an answer took beyond those. Elsewhere nothing changes. Turned down: the same from three tenths of the time-out on: Leases.OneAnswerOutOfTurnDoesNotSetThePaceOfCalls showed that answers from a line at the start would then pass for the usual time. Test: CounterPaceTest.ASlowCounterIsNotTakenForACrowdedOne.

--- a/src/policy/counter_pace.hpp
+++ b/src/policy/counter_pace.hpp
@@ -69,7 +69,9 @@
     if (ok && down()) rate = std::max(rate, fair());
     strikes = ok ? 0 : strikes + 1;
     if (strikes == kCounterStrikes) down_since = now;
-    const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
+    // Where even the quickest take longer than the time-out, only what one took beyond that shows a line.
+    const double bare = fastest > seconds(timeout) ? fastest : 0;
+    const double part = ok ? std::max(0.0, seconds(took) - bare) / seconds(timeout) : 1.0;
     if (part < kSlowCall) {
       if (!spare()) rate += kCallRise * fair();
     } else if (now - took >= cut_at) {  // one cut for all calls made before the last one
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -93,6 +93,17 @@
   EXPECT_FALSE(p.down());
   EXPECT_GE(p.rate, p.fair());
 }
+// A counter that needs most of its time-out, or more, for each call alone: its answers show no line there.
+TEST(CounterPaceTest, ASlowCounterIsNotTakenForACrowdedOne) {
+  CounterPace p(30ms, 6);
+  auto now = Time(1h);
+  for (int i = 0; i < 50; ++i) p.save(now), p.learn(now += 100ms, CountOutcome::ok, 34ms);
+  EXPECT_NEAR(p.fair(), 1 / (6 * 0.034), 1e-6);
+  EXPECT_GE(p.rate, p.fair());
+  const double before = p.rate;
+  p.learn(now += 100ms, CountOutcome::ok, 34ms + 30ms);  // a line of a time-out beyond its own time
+  EXPECT_LT(p.rate, before);
+}
 
 // ---- Lease book
 
