--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -94,7 +94,7 @@
   EXPECT_GE(p.rate, p.fair());
 }
 // A counter that needs most of its time-out, or more, for each call alone: its answers show no line there.
-TEST(CounterPaceTest, ASlowCounterIsNotTakenForACrowdedOne) {
+TEST(CounterPace, ASlowCounterIsNotTakenForACrowdedOne) {
   CounterPace p(30ms, 6);
   auto now = Time(1h);
   for (int i = 0; i < 50; ++i) p.save(now), p.learn(now += 100ms, CountOutcome::ok, 34ms);
