--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -108,7 +108,7 @@
     return std::clamp(usual_ + usual_ / 2, timeout_, facts::kCounterConnect * timeout_);
   }
   void learn(Duration took) {
-    usual_ = usual_ == Duration{} || took < usual_ ? took : usual_ + (took - usual_) / kUsualRise;
+    usual_ = usual_ == Duration{} || took < usual_ ? took : usual_ + (took - usual_) / facts::kUsualRise;
   }
 
   void tell(Call& c, CountOutcome outcome, double total = 0) {
@@ -236,7 +236,6 @@
 
   Timers& timers_;
   Tcp::endpoint at_;
-  static constexpr int kUsualRise = 32;  // a time that was quicker is forgotten over so many answers
   Duration timeout_;
   Duration usual_{};  // what an answer takes that finds no line, 0 before the first one
   Told told_;
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -65,6 +65,7 @@
 inline constexpr std::size_t kCounterLinks = 4;        // connections: a crowded part holds up only its own
 inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
 inline constexpr int kCounterConnect = 4;              // time-outs for a connection to it to come up
+inline constexpr int kUsualRise = 32;  // a quicker answer than the usual is forgotten over so many
 inline constexpr Duration kLongestCounterBackoff = 250ms;  // every request waits for it
 inline constexpr Duration kFirstBackoff = 50ms;            // before a connection is tried again; doubles
 inline constexpr Duration kLongestBackoff = 1s;            //
