Pace of calls: slow start until a line at the counter was seen

The nodes' rates added up to 400 calls a second at the start, 590 after 1 s and 1,091 after 4 s, while not one call in 6,000 stayed unanswered; in the third second 953 of some 1,700 tries of the plan under a ceiling, which passes on no credit, were refused as short of calls. After the silence the same again: 381, 454, 577, 732. At fault: CounterPace::learn, which adds a fifth of the fair rate for a quick answer. The fair rate is one over the nodes and the time of a call, and answers come at the rate itself, so it takes 1 / (0.2 x fair) to grow e-fold: 0.06 s for three nodes, 5 s for 276. Ruled out: a line at the counter (no answer late), the open cap (52 to 134 tries a second), spent windows (61). Change: until an answer shows a line, and anew after an outage, a quick answer adds 0.05 calls a time-out, which is e-fold in 20 time-outs at whatever size; from then on as before. Turned down: a start as if the node were alone with the counter, which is a hundred times the fair rate at 300 nodes and makes lines that it then has to find out about.

Small fleets keep their rise: a fifth of the fair rate is more there.

--- a/src/policy/counter_pace.hpp
+++ b/src/policy/counter_pace.hpp
@@ -11,7 +11,8 @@
 constexpr std::size_t kQuickest = 3;  // answers that must have been as quick for a time to count as the usual
 constexpr double kSlowCall = 0.3;  // part of the counter's time-out past which an answer shows a line there
 constexpr double kCallRise = 0.2;  // of the fair rate, added for each quick answer while calls are held back
-constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
+constexpr double kSlowStart = 0.05;  // calls a time-out, added instead until a line was seen: e-fold in 20
+constexpr double kCallCut = 0.3;     // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
 constexpr double kCallsSaved = 3;    // calls that can be saved up at least
 constexpr Duration kCallSpan = 100ms;  // and the span over which more are
@@ -27,6 +28,7 @@
   double fleet = 1, fastest = 0;   // seconds: what a call takes that finds no line
   std::multiset<double> quickest;  // of the answers so far; one alone may not have waited its turn
   double rate = 0, saved = 0;      // calls a second; calls that may be made now
+  double line_at = std::numeric_limits<double>::infinity();  // rate below which no line was seen (slow start)
   Time saved_at{}, cut_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
@@ -63,20 +65,27 @@
     if (quickest.size() == kQuickest) fastest = *quickest.rbegin();
   }
 
+  // After an outage slow start begins anew: what was seen of a line before says nothing of now.
+  void heard() {
+    if (down()) rate = std::max(rate, fair()), line_at = std::numeric_limits<double>::infinity();
+    strikes = 0;
+  }
+
   void learn(Time now, CountOutcome o, Duration took) {
     const bool ok = o == CountOutcome::ok;
     if (ok) learn_quickest(seconds(took));
-    if (ok && down()) rate = std::max(rate, fair());
+    if (ok) heard();
     strikes = ok ? 0 : strikes + 1;
     if (strikes == kCounterStrikes) down_since = now;
     // Where even the quickest take longer than the time-out, only what one took beyond that shows a line.
     const double bare = fastest > seconds(timeout) ? fastest : 0;
     const double part = ok ? std::max(0.0, seconds(took) - bare) / seconds(timeout) : 1.0;
     if (part < kSlowCall) {
-      if (!spare()) rate += kCallRise * fair();
+      const double start = rate < line_at ? kSlowStart / seconds(timeout) : 0;
+      if (!spare()) rate += std::max(start, kCallRise * fair());
     } else if (now - took >= cut_at) {  // one cut for all calls made before the last one
       rate *= 1 - kCallCut * std::min(1.0, (part - kSlowCall) / (1 - kSlowCall));
-      cut_at = now;
+      line_at = rate, cut_at = now;
     }
     rate = std::max(rate, kCallLeast * fair());
     if (!down()) return;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -93,6 +93,33 @@
   EXPECT_FALSE(p.down());
   EXPECT_GE(p.rate, p.fair());
 }
+// However large the fleet, calls that are held back rise as fast until a line was seen, and anew after an outage.
+TEST(CounterPace, SlowStartLastsUntilALineWasSeen) {
+  for (const double fleet : {30.0, 300.0, 3000.0}) {
+    CounterPace p(50ms, fleet);
+    Time now{1h};
+    const auto answered = [&](Duration span,
+                              Duration took) {  // as many calls as the rate allows, all held back
+      for (const Time end = now + span; now < end;)
+        now += from_seconds(1 / p.rate), p.saved = 0, p.learn(now, CountOutcome::ok, took);
+    };
+    const double began = p.rate;
+    answered(3s, 2ms);
+    EXPECT_GT(p.rate, 3 * began) << fleet;
+    now += 1s, p.learn(now, CountOutcome::ok, 40ms);  // a line
+    const double after = p.rate;
+    p.saved = 0, p.learn(now += 1ms, CountOutcome::ok, 2ms);
+    EXPECT_NEAR(p.rate, after + 0.2 * p.fair(), 1e-9) << fleet;
+    for (int i = 0; i < 3; ++i) p.learn(now += 100ms, CountOutcome::timeout, 50ms);
+    ASSERT_TRUE(p.down());
+    p.heard();
+    EXPECT_FALSE(p.down());
+    EXPECT_GE(p.rate, p.fair());
+    const double again = p.rate;
+    p.saved = 0, p.learn(now += 100ms, CountOutcome::ok, 2ms);
+    EXPECT_NEAR(p.rate, again + std::max(1.0, 0.2 * p.fair()), 1e-9) << fleet;
+  }
+}
 // A counter that needs most of its time-out, or more, for each call alone: its answers show no line there.
 TEST(CounterPace, ASlowCounterIsNotTakenForACrowdedOne) {
   CounterPace p(30ms, 6);
