Counter: one that has fallen silent is pinged, and its first pong ends the outage

Each finds out by a trial call of its own, one in 0.7 s and more at this size, as all trials together may be no more than the counter takes; those that are not written, as a connection is just lost, are trials lost. Calls keep their rate. Turned down: more trial calls, which are work at the counter in the moment of its return.

--- a/include/petrelrail/gateway.hpp
+++ b/include/petrelrail/gateway.hpp
@@ -201,6 +201,9 @@
   Duration took{};
 };
 
+// The counter has answered something that adds nothing and costs it nothing: after a silence it is there again.
+struct CounterHeard {};
+
 struct PeerMessage {  // accepted and passed over: gateways learn of each other by the counter alone
   std::uint32_t from = 0;
 };
@@ -264,7 +267,7 @@
 };
 
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage, FleetView, LeaveOut, Retune, TakeOver>;
+                           CountAnswer, CounterHeard, PeerMessage, FleetView, LeaveOut, Retune, TakeOver>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -15,11 +15,12 @@
 class Counter::Link : public std::enable_shared_from_this<Link> {
  public:
   Link(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
-       std::uint64_t seed)
+       Heard heard, std::uint64_t seed)
       : timers_(timers),
         at_(at),
         timeout_(timeout),
         told_(std::move(told)),
+        heard_again_(std::move(heard)),
         socket_(io.get_executor()),
         random_(seed) {}
 
@@ -43,6 +44,7 @@
       self->heard_ = self->timers_.now();
       set_no_delay(self->socket_);
       self->read();
+      if (self->silent_) self->ping();
       self->flush();
       self->watch();
     });
@@ -129,9 +131,18 @@
     const auto it = std::ranges::find(sent_, number, &Call::number);
     if (it == sent_.end()) return;
     it->limit.reset();
+    silent_ = true;
     tell(*it, CountOutcome::timeout);
   }
 
+  // Costs the counter nothing, and tells whether it is there.
+  void ping() {
+    Call c;
+    c.ping = true, c.number = ++calls_, c.began = timers_.now(), c.line = "ping\r\n";
+    waiting_.push_back(std::move(c));
+    flush();
+  }
+
   void flush() {
     if (stage_ != Stage::up || !writing_.empty() || waiting_.empty()) return;
     for (auto& c : waiting_) {
@@ -174,6 +185,7 @@
       begin = end + 2;
       if (sent_.empty()) return false;
       backoff_ = {};  // only an answer shows that the counter is well
+      if (std::exchange(silent_, false)) heard_again_();
       Call c = std::move(sent_.front());
       sent_.pop_front();
       double total = 0;
@@ -200,7 +212,7 @@
   void lose(bool write_ended = false) {
     if (stage_ == Stage::stopped || stage_ == Stage::down) return;
     stage_ = Stage::down;
-    tried_ = true;
+    tried_ = silent_ = true;
     ++life_;
     timers_.cancel(guard_);
     close_now(socket_);
@@ -222,12 +234,7 @@
     const Time now = timers_.now();
     if (!sent_.empty() && now - std::max(heard_, sent_.front().began) > facts::kCounterSilent * timeout_)
       return lose();
-    if (sent_.empty() && now - heard_ > facts::kCounterIdle / 4) {
-      Call c;
-      c.ping = true, c.number = ++calls_, c.began = now, c.line = "ping\r\n";
-      waiting_.push_back(std::move(c));
-      flush();
-    }
+    if (sent_.empty() && (silent_ || now - heard_ > facts::kCounterIdle / 4)) ping();
     guard_ = timers_.after(facts::kCounterSilent * timeout_ / 4, [self = shared_from_this()] {
       self->guard_.reset();
       self->watch();
@@ -239,6 +246,7 @@
   Duration timeout_;
   Duration usual_{};  // what an answer takes that finds no line, 0 before the first one
   Told told_;
+  Heard heard_again_;
   Socket socket_;
   Stage stage_ = Stage::connecting;
   std::uint64_t life_ = 0, calls_ = 0;  // numbers of connections and of calls
@@ -249,13 +257,14 @@
   Duration backoff_{};
   std::mt19937_64 random_;  // so that a fleet's nodes do not come back in step
   Time heard_{};
-  bool tried_ = false;
+  bool tried_ = false,
+       silent_ = false;  // silent: since its last answer a call got none in time, or a connection ended
 };
 
 Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
-                 std::uint64_t seed) {
+                 Heard heard, std::uint64_t seed) {
   for (std::size_t i = 0; i < facts::kCounterLinks; ++i) {
-    links_.push_back(std::make_shared<Link>(io, timers, at, timeout, told, seed + i));
+    links_.push_back(std::make_shared<Link>(io, timers, at, timeout, told, heard, seed + i));
     links_.back()->connect();
   }
 }
--- a/src/node/counter.hpp
+++ b/src/node/counter.hpp
@@ -15,10 +15,11 @@
 class Counter {
  public:
   using Told = std::function<void(const CountAnswer&)>;
+  using Heard = std::function<void()>;
   using Other = std::function<void(CountOutcome, double total)>;
 
   Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told,
-          std::uint64_t seed = 0);
+          Heard heard, std::uint64_t seed = 0);
   ~Counter();
 
   void add(CountName name, double amount, Duration lifetime);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,7 +50,7 @@
 std::unique_ptr<Counter> Node::new_counter() {
   return std::make_unique<Counter>(
       io_, timers_, *config_.counter, config_.named.settings.counter_timeout,
-      [this](const CountAnswer& a) { happened(a); }, config_.seed);
+      [this](const CountAnswer& a) { happened(a); }, [this] { happened(CounterHeard{}); }, config_.seed);
 }
 
 void Node::start() {
--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -129,6 +129,9 @@
   void on(const CountAnswer& e) {
     if (auto* l = book_.answered(e)) settle_waiting(*l);
   }
+  void on(const CounterHeard&) {
+    if (book_.pace.down()) book_.pace.heard(), turn_.log("counter answers again");
+  }
   void on(const FleetView& e) { book_.pace.fleet = std::clamp(e.living, 1u, turn_.set.fleet_size); }
 
   // ---- Servers
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -11,7 +11,9 @@
 
 struct CounterTest : ::testing::Test {
   void start(const Tcp::endpoint& at, Duration timeout = 50ms) {
-    counter.emplace(loop.io, timers, at, timeout, [this](const CountAnswer& a) { told.push_back(a); });
+    counter.emplace(
+        loop.io, timers, at, timeout, [this](const CountAnswer& a) { told.push_back(a); },
+        [this] { ++heard; });
     ASSERT_TRUE(loop.until([&] { return counter->tried(); }));
   }
   void call(std::uint64_t name, double amount = 2) { counter->add(CountName(name), amount, 4s); }
@@ -23,6 +25,7 @@
   Clock clock;
   Timers timers{loop.io, clock};
   std::vector<CountAnswer> told;
+  int heard = 0;  // how often the counter was there again
   std::optional<Counter> counter;
 };
 
@@ -163,8 +166,9 @@
     queued.back().async_connect(full.local_endpoint(), [](const error_code&) {});
   }
   bool late = false;
-  counter.emplace(loop.io, timers, full.local_endpoint(), 50ms,
-                  [this](const CountAnswer& a) { told.push_back(a); });
+  counter.emplace(
+      loop.io, timers, full.local_endpoint(), 50ms, [this](const CountAnswer& a) { told.push_back(a); },
+      [] {});
   timers.after(700ms, [&] { late = true; });  // a second would be half of a short outage once more
   ASSERT_TRUE(loop.until([&] { return late || counter->tried(); }));
   EXPECT_FALSE(late);
@@ -178,6 +182,29 @@
   ASSERT_EQ(told.size(), 1u);
   EXPECT_EQ(told[0].outcome, CountOutcome::timeout);
 }
+// On the connection that was silent, and on the one that takes its place: no call has to be risked to know.
+TEST_F(CounterTest, ASilentCounterIsPingedUntilItIsThereAgain) {
+  bool silent = true;
+  std::size_t calls = 0;
+  const auto answer = [&](const std::string& l) {
+    calls += l != "ping";
+    return silent ? std::string() : std::string(l == "ping" ? "pong\r\n" : "ok 1\r\n");
+  };
+  Peer server(loop.io, lines(answer));
+  start(server.at(), 20ms);
+  call(4);
+  ASSERT_TRUE(wait_for(1));
+  ASSERT_TRUE(
+      loop.until([&] { return server.wires.size() > facts::kCounterLinks + 1; }));  // two have followed it
+  EXPECT_EQ(heard, 0);
+  silent = false;
+  EXPECT_TRUE(loop.until([&] { return heard > 0; }));
+  EXPECT_EQ(calls, 1U);
+  call(4);
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(told[1].outcome, CountOutcome::ok);
+  EXPECT_EQ(heard, 1);  // once
+}
 TEST_F(CounterTest, NonsenseEndsTheConnection) {
   Peer server(loop.io, lines([](const std::string&) { return std::string("ok seven\r\n"); }));
   start(server.at(), 5s);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -570,6 +570,34 @@
   EXPECT_EQ(sent, 0);
 }
 
+// After an outage the first answer that the counter gives to anything ends it: no call has to be tried first.
+TEST(Leases, ACounterThatIsHeardAgainIsNotDownAnyMore) {
+  auto s = settings();
+  s.fleet_size = 400;
+  Host h(s);
+  h.servers(20);
+  std::uint64_t c = 0;
+  const auto come = [&] {
+    h.now += 500ms, ++c;
+    h.give(Arrival{static_cast<RequestId>(c), ClassIndex{0}, PlanIndex{0}, CustomerId(c), 1s, 1, 200, false});
+  };
+  for (int i = 0; i < 10; ++i) {
+    come();
+    for (auto again = h.all<AddToCount>(); !again.empty(); again = h.all<AddToCount>())
+      h.count(again[0], 0, CountOutcome::timeout);
+  }
+  come();
+  ASSERT_TRUE(h.has<AddToCount>());
+  h.count(h.all<AddToCount>()[0], 0, CountOutcome::timeout);
+  h.now -= 499ms;  // the next trial is not due
+  come();
+  EXPECT_TRUE(h.has<Refuse>());
+  h.give(CounterHeard{});
+  h.now -= 499ms;
+  come();
+  EXPECT_FALSE(h.has<Refuse>());
+}
+
 TEST(Leases, WhatACallIsWorthDecidesWhoGetsTheNextOne) {
   auto s = settings();
   s.classes[2].worth = 5;
