Pool: a second answer that a read has fetched ahead is seen before the next request is written

Cause: a read on an idle connection is begun at once (connection.cpp, finish -> read). If bytes are in the socket by then, it takes them there and then and the loop tells of it in its turn. A request that comes before that finds the socket empty (sound), is written, and the former answer is told as its own. So with two whole answers, the second a few microseconds after the first one was read.

Ruled out: waiting for readiness in place of a read (epoll_ctl for each answer, and as connects register for writing as well, an event at once), and a peek in place of a read (one call more for each answer).

Change: the place where a read puts its first byte is cleared before it, and looked at with the socket. No call more.

Result: ServerCrossing.ASecondAnswerThatIsReadAhead... fails without the mend ("of another" told to the next request, one connection) and passes with it.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -21,6 +21,8 @@
   return Outcome::error;
 }
 
+constexpr char kNothing = {};  // no answer begins with it
+
 }  // namespace
 
 ServerConnection::ServerConnection(Upstream& upstream, Pool& pool, asio::io_context& io)
@@ -59,8 +61,10 @@
   start();
 }
 
-// The loop tells of an end or of bytes some time after they came: the system is asked.
+// The loop tells of an end or of bytes some time after they came: the system is asked. What was there when the read
+// began is not in the socket any more, and the loop has not told of it either: it lies where the read puts it.
 bool ServerConnection::sound() {
+  if (reads_ && *ahead_ != kNothing) return false;
   char byte = 0;
   return ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -182,10 +186,12 @@
 
 void ServerConnection::read() {
   if (stage_ == Stage::closed || std::exchange(reads_, true)) return;
-  socket_.async_read_some(buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize),
-                          [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
-                            self->on_read(failed, bytes);
-                          });
+  const auto space = buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize);
+  *static_cast<char*>(space.data()) = kNothing;
+  ahead_ = static_cast<const char*>(space.data());
+  socket_.async_read_some(space, [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
+    self->on_read(failed, bytes);
+  });
 }
 
 void ServerConnection::on_read(const error_code& failed, std::size_t bytes) {
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -77,12 +77,13 @@
   std::optional<Errand> errand_;
   Timers::Handle limit_, hold_;
   Stage stage_ = Stage::connecting;
-  bool streams_ = false;    // the answer passes on in pieces
-  bool reads_ = false;      // a read is pending
-  std::size_t passed_ = 0;  // bytes of it
-  bool paused_ = false;     // until the client has taken the last one
-  Time answered_{};         // when the answer began to come
-  bool broken_ = false;     // the other side has gone while a request was being written
+  bool streams_ = false;         // the answer passes on in pieces
+  bool reads_ = false;           // a read is pending
+  const char* ahead_ = nullptr;  // where that puts its first byte
+  std::size_t passed_ = 0;       // bytes of it
+  bool paused_ = false;          // until the client has taken the last one
+  Time answered_{};              // when the answer began to come
+  bool broken_ = false;          // the other side has gone while a request was being written
   Time since_{};
   std::uint64_t heard_ = 0;  // how often the server had been heard of when the request began
 };
--- /dev/null
+++ b/tests/server_crossing_test.cpp
@@ -0,0 +1,45 @@
+// Connections to price servers where two events cross: an answer and the next request, a close and a write, a connect
+// and the end of what it was for. Each order is forced: what crosses is in the socket before the loop goes on.
+#include "facts.hpp"
+#include "node_host.hpp"
+#include "pool_host.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+struct ServerCrossing : PoolTest {
+  // Into the socket at once, before the loop goes on.
+  static void put(Wire& w, const std::string& text) { asio::write(w.socket, asio::buffer(text)); }
+  bool passed(Time when) {
+    return loop.until([&] { return timers.now() >= when; });
+  }
+  // What has been read so far on all of a server's connections.
+  static std::string all(const Peer& server) {
+    std::string text;
+    for (const auto& w : server.wires) text += w->in;
+    return text;
+  }
+  void expect_end(std::size_t which, Outcome outcome) {
+    ASSERT_TRUE(ended(which + 1));
+    EXPECT_EQ(ends[which].outcome, outcome) << which;
+  }
+};
+
+// ---- A second answer, some time after the first ---------------------------------------------------------------
+
+// It comes while the first one is being told; the system serves the next read with it at once, and the loop tells of
+// that after the next request.
+TEST_F(ServerCrossing, ASecondAnswerThatIsReadAheadIsSeenBeforeTheNextRequestIsWritten) {
+  Peer server(loop.io, answer);
+  told = [&] {
+    told = nullptr;
+    put(*server.wires[0], http_answer("200 OK", "of another"));
+    asio::post(loop.io, [this] { send(); });
+  };
+  upstream->update(kOne, server.at(), true);
+  send();
+  expect_served_on_another(server);
+  EXPECT_EQ(ends[1].answer.body, "x");
+}
+}  // namespace
+}  // namespace petrelrail::test
