Connections: an answer that comes before its request is written whole is not taken for its own

Cause: while a request was being written, what came was parsed and, once whole, told as its answer (connection.cpp, on_read -> go_through -> finish). On a connection that had carried another request before, a long body is the time in which a second answer to that one can come; it was told to the wrong client.

A server starts on a request once its last byte has arrived (PROTOCOL), so this is exact, and as the last byte is kept back the request never runs. It is told as never sent: the server is there, so no failed connect is held against it. If a write is under way its end tells whether the last byte went out after all; then it is a reset, as before. On a new connection nothing changes: there is no other request that an answer could belong to.

Result: ServerCrossing.AnAnswerBeforeItsRequestIsWrittenWholeIsNotItsOwn fails without the mend (ok, "of another") and passes with it.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -81,14 +81,14 @@
   expect_answer();
   heard_ = pool_.times_heard();
   stage_ = Stage::writing;
-  broken_ = streams_ = paused_ = writes_ = false;
+  broken_ = stray_ = streams_ = paused_ = writes_ = false;
   answered_ = {};
   if (errand_->message && errand_->message->upload) return start_upload();
   const auto body = errand_->message ? asio::buffer(errand_->message->body) : asio::const_buffer();
   const std::array<asio::const_buffer, 2> parts{asio::buffer(head_), body};
   asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
-    if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
+    if (failed) return self->close(self->unwritten());  // it broke before the last byte was written
     self->written();
   });
 }
@@ -150,7 +150,7 @@
                     [self = shared_from_this()](const error_code& failed, std::size_t) {
                       self->writes_ = false;
                       if (self->stage_ != Stage::writing) return;
-                      if (failed) return self->close(Outcome::connect_failed);
+                      if (failed) return self->close(self->unwritten());
                       self->write_more();
                     });
 }
@@ -173,7 +173,7 @@
                     [self = shared_from_this(), last](const error_code& failed, std::size_t) {
                       self->writes_ = false;
                       if (self->stage_ != Stage::writing) return;
-                      if (failed) return self->close(Outcome::connect_failed);
+                      if (failed) return self->close(self->unwritten());
                       if (!last) return self->expect_more(Outcome::timeout), self->write_more();
                       auto& e = *self->errand_;
                       const Time now = self->upstream_.timers_.now();
@@ -209,6 +209,10 @@
   }
   buffer_.commit(bytes);
   pool_.heard();
+  // A server starts on a request once its last byte has arrived. Where another was answered before, this is no answer
+  // to the one that is being written, which never runs if its last byte is kept back.
+  stray_ = stage_ == Stage::writing && errand_->connect == Duration{};
+  if (stray_) return broke();
   go_through();
 }
 
@@ -320,7 +324,7 @@
 void ServerConnection::broke() {
   if (stage_ == Stage::writing) {
     // How much was written shows when the write ends.
-    if (errand_->message && errand_->message->upload && !writes_) return close(Outcome::connect_failed);
+    if (errand_->message && errand_->message->upload && !writes_) return close(unwritten());
     broken_ = true;
     error_code ignored;
     socket_.cancel(ignored);
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -49,6 +49,7 @@
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
   void broke();
+  Outcome unwritten() const { return stray_ ? Outcome::never_sent : Outcome::connect_failed; }
   void go_through();
   void write_more();
   void written();
@@ -84,6 +85,7 @@
   bool paused_ = false;          // until the client has taken the last one
   Time answered_{};              // when the answer began to come
   bool broken_ = false;          // the other side has gone while a request was being written
+  bool stray_ = false;           // or what came was the answer to another
   Time since_{};
   std::uint64_t heard_ = 0;  // how often the server had been heard of when the request began
 };
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -41,5 +41,22 @@
   expect_served_on_another(server);
   EXPECT_EQ(ends[1].answer.body, "x");
 }
+// A server starts on a request once its last byte has arrived: what it sends before that answers another one.
+TEST_F(ServerCrossing, AnAnswerBeforeItsRequestIsWrittenWholeIsNotItsOwn) {
+  Peer server(loop.io, answer);
+  warm(server);
+  const auto upload = std::make_shared<Upload>(std::nullopt);
+  upload->put("a part");
+  server.on({});
+  server.wires[0]->came = nullptr;
+  send(kOne, 10s, upload);
+  ASSERT_TRUE(loop.until([&] { return server.wires[0]->in.ends_with("a part\r\n"); }));
+  server.wires[0]->send(http_answer("200 OK", "of another"));
+  expect_end(1, Outcome::never_sent);
+  EXPECT_EQ(ends[1].answer.body, "");
+  EXPECT_EQ(figures().open, 0u);
+  EXPECT_EQ(written, 1u);
+}
+
 }  // namespace
 }  // namespace petrelrail::test
