Pool: a connection that was taken and not written to idles on since its last answer

Cause: a client is looked at twice, at the choice and before the first byte (upstream.cpp run, connection.cpp start). If it goes or its time runs out in between, the connection went back as if it had just answered (end: since_ = now) though nothing was written to it. The pool then kept it past the time for which the server does, and a request written to it from that point on ends as a reset.

Change: the time of a connection that was not written to stays, and with it its place among those that idle.

Result: ServerCrossing.OneThatWasNotWrittenToAfterAllHasIdledSinceItsLastAnswer fails without the mend (used again past its time) and passes with it.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -380,8 +380,8 @@
   upstream_.timers_.cancel(hold_);
   const auto errand = std::exchange(errand_, std::nullopt);
   if (stage_ != Stage::closed) {
-    stage_ = Stage::idle;
-    since_ = upstream_.timers_.now();
+    // One that was taken and not written to idles on, as its server sees it.
+    if (std::exchange(stage_, Stage::idle) != Stage::idle) since_ = upstream_.timers_.now();
     upstream_.rest(self, pool_);
   }
   if (errand) upstream_.report(*errand, outcome, std::move(answer));
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -46,9 +46,9 @@
 
 void Pool::rest(const Connection& c) {
   std::erase(busy_, c);
-  idle_.push_back(c);
+  const auto at = idle_.insert(std::ranges::upper_bound(idle_, c->since(), {}, &ServerConnection::since), c);
   ++figures_.idle;
-  if (c->life() != life_) drop(idle_.size() - 1);
+  if (c->life() != life_) drop(static_cast<std::size_t>(at - idle_.begin()));
 }
 
 void Pool::forget(const Connection& c, bool connecting) {
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -58,5 +58,28 @@
   EXPECT_EQ(written, 1u);
 }
 
+// ---- Between choice and write ---------------------------------------------------------------------------------
+
+// Its client went in the last instant: nothing was written, and to the server the connection idles as it did.
+TEST_F(ServerCrossing, OneThatWasNotWrittenToAfterAllHasIdledSinceItsLastAnswer) {
+  Peer server(loop.io, answer);
+  warm(server);
+  const Time since = timers.now();
+  ASSERT_TRUE(passed(since + 50ms));
+  int looks = 0;
+  looked = [&](RequestId r) {
+    if (++looks == 2) gone.insert(r);
+  };
+  send();
+  expect_end(1, Outcome::never_sent);
+  ASSERT_EQ(figures().idle, 1u);
+  looked = nullptr;
+  upstream->tune(250ms, std::chrono::duration_cast<Duration>(50ms / facts::kIdlePart));
+  send();
+  ASSERT_TRUE(ended(3));
+  EXPECT_EQ(server.wires.size(), 2u);
+  EXPECT_EQ(written, 2u);
+}
+
 }  // namespace
 }  // namespace petrelrail::test
