Connections: a line of chunks or a trailer without an end is no answer, and not kept

Cause: the parser's limit holds for heads alone. Of a chunk's line and of a trailer it takes nothing until they are whole, so that what came of one without an end was kept in the buffer (connection.cpp, take_bytes, need_more) until the request's time was over, as fast as the server sends; behind a long answer for as long as something came.

Change: more than a head may have is no answer: the attempt ends as a reset, at once.

Result: ServerCrossing.ALineThatNeverEndsIsNoAnswer fails without the mend (timeouts after 2 s in four of its six forms) and passes with it.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -241,7 +241,8 @@
   error_code wrong;
   while (!parser_->is_done() && buffer_.size() > 0) {
     buffer_.consume(parser_->put(buffer_.data(), wrong));
-    if (wrong == http::error::need_more) return true;
+    // The parser leaves a line of chunks and a trailer where they are until they are whole.
+    if (wrong == http::error::need_more) return buffer_.size() < facts::kMostHeader;
     if (wrong) return false;
     // An interim answer (1xx) is followed by the final one.
     if (parser_->is_done() &&
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -81,5 +81,27 @@
   EXPECT_EQ(written, 2u);
 }
 
+// ---- Answers that break, and that never end ---------------------------------------------------------------------
+
+// A line of chunks or a trailer without an end is no answer, and not kept.
+TEST_F(ServerCrossing, ALineThatNeverEndsIsNoAnswer) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string long_line(2 * facts::kMostHeader, 'x');
+  for (const auto& text :
+       {"HTTP/1.1 200 " + long_line, "HTTP/1.1 200 OK\r\nX: " + long_line, chunked + "1;" + long_line,
+        chunked + "1\r\na\r\n0;" + long_line, chunked + "1\r\na\r\n0\r\nX: " + long_line,
+        chunked + std::string(long_line.size(), '0')}) {
+    ends.clear();
+    Peer server(loop.io, [&](Wire& w) {
+      if (!w.message().empty()) w.send(text);
+    });
+    upstream->update(kOne, server.at(), true);
+    send(kOne, 2s);
+    ASSERT_TRUE(ended(1));
+    EXPECT_EQ(ends[0].outcome, Outcome::reset) << text.substr(0, 70);
+    EXPECT_EQ(figures().open, 0u);
+  }
+}
+
 }  // namespace
 }  // namespace petrelrail::test
