Pool: connections rest before they are used again; longer where the server spoke out of turn

Need: a second answer some milliseconds late is told to the next request if that is out on the connection by then. The connection used last was taken first (pool.cpp, take), so that of all that idle the one was written to on which a second answer could still be on its way.

Change: of the connections that have rested for 20 ms the one used last is taken, else the one that has rested longest. None is opened for that and spare ones still age out, as they would not if the longest idle one always came first. A server that has spoken out of turn once has its connections rest for twice as long as it was late, 0.1 to 1 s, for a minute after the last time; where none has rested, a new one is opened. No call more for a request.

Open: the first time at a server, and what comes later than the rest.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -64,10 +64,11 @@
 // The loop tells of an end or of bytes some time after they came: the system is asked. What was there when the read
 // began is not in the socket any more, and the loop has not told of it either: it lies where the read puts it.
 bool ServerConnection::sound() {
-  if (reads_ && *ahead_ != kNothing) return false;
+  const bool ahead = reads_ && *ahead_ != kNothing;
   char byte = 0;
-  return ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  const auto n = ahead ? 1 : ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) pool_.out_of_turn(upstream_.timers_.now(), since_);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 // The moment of the first byte. While the connection came up the client may have gone, the time run out or
@@ -198,7 +199,10 @@
   reads_ = false;
   if (stage_ == Stage::closed) return;
   // On a connection that idles there is nothing to read but its end.
-  if (stage_ == Stage::idle) return pool_.drop_stale(shared_from_this());
+  if (stage_ == Stage::idle) {
+    if (!failed) pool_.out_of_turn(upstream_.timers_.now(), since_);
+    return pool_.drop_stale(shared_from_this());
+  }
   if (failed) {
     // Only an orderly end closes an answer without a length. After a reset nobody knows how much of it is missing.
     error_code ended;
@@ -212,7 +216,7 @@
   // A server starts on a request once its last byte has arrived. Where another was answered before, this is no answer
   // to the one that is being written, which never runs if its last byte is kept back.
   stray_ = stage_ == Stage::writing && errand_->connect == Duration{};
-  if (stray_) return broke();
+  if (stray_) return pool_.out_of_turn(upstream_.timers_.now(), since_), broke();
   go_through();
 }
 
@@ -336,7 +340,10 @@
 
 // What goes on after its end is no answer to one request: nobody knows where the right one ends.
 void ServerConnection::finish() {
-  if (buffer_.size() > 0 && errand_->message) return broke();
+  if (buffer_.size() > 0 && errand_->message) {
+    const Time now = upstream_.timers_.now();
+    return pool_.out_of_turn(now, now), broke();
+  }
   const bool lasts = parser_->keep_alive();  // not where the answer ends with the connection
   auto response = parser_->release();
   const bool keep = lasts && stage_ == Stage::waiting && buffer_.size() == 0;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "connection.hpp"
+#include "facts.hpp"
 
 namespace petrelrail {
 
@@ -20,19 +21,25 @@
   if (began_anew) started_ = started;
   if (!moved && !began_anew) return;
   ++life_;
+  rests_until_ = {};
   drop_stale();
 }
 
 Pool::Connection Pool::take(Time now, Duration limit) {
   while (!idle_.empty()) {
-    const auto last = idle_.size() - 1;
-    if (now - idle_[last]->since() < limit && idle_[last]->sound()) {
-      auto c = pull(last);
+    const bool must_rest = now < rests_until_;
+    const Time before = now - (must_rest ? rest_ : facts::kRest);
+    const auto end = std::ranges::upper_bound(idle_, before, {}, &ServerConnection::since);
+    const auto rested = static_cast<std::size_t>(end - idle_.begin());
+    if (must_rest && rested == 0) break;
+    const auto at = rested == 0 ? 0 : rested - 1;
+    if (now - idle_[at]->since() < limit && idle_[at]->sound()) {
+      auto c = pull(at);
       busy_.push_back(c);
       ++figures_.reuses;
       return c;
     }
-    drop(last);
+    drop(at);
   }
   return nullptr;
 }
@@ -72,6 +79,12 @@
   return n;
 }
 
+void Pool::out_of_turn(Time now, Time since) {
+  if (now >= rests_until_) rest_ = facts::kRestOutOfTurn;
+  rest_ = std::min(std::max(rest_, 2 * (now - since)), facts::kLongestRest);
+  rests_until_ = now + facts::kOutOfTurnKept;
+}
+
 void Pool::drop_stale() {
   while (!idle_.empty()) drop(idle_.size() - 1);
 }
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -45,8 +45,9 @@
   // What discovery says. At another address or after another start, connections of before are of no use: those
   // that idle go at once, busy ones with their answer.
   void settle(const Tcp::endpoint& address, std::optional<Time> started);
-  // A sound connection that idles, the one used last first, or none. What has idled for `limit`, was closed by
-  // the other end or shows bytes that nobody asked for is dropped on the way.
+  // A sound connection that idles, or none: of those that have rested the one used last, else the one that has rested
+  // longest, so that a second answer to the request before finds no other one out. What has idled for `limit`, was
+  // closed by the other end or shows bytes that nobody asked for is dropped on the way.
   Connection take(Time now, Duration limit);
   void opened(const Connection& c);                   // a connect to this server begins
   void came_up();                                     // one of them is up
@@ -54,6 +55,9 @@
   void forget(const Connection& c, bool connecting);  // it has ended
   // Idle ones beyond `keep` go, the one that has idled longest first. As many as were let go.
   std::size_t release(std::size_t keep);
+  // The server has sent what nobody asked for, on a connection that idled since. For some time its connections must
+  // have rested before they are used again.
+  void out_of_turn(Time now, Time since);
   void drop_stale();                     // all that idle
   void drop_stale(const Connection& c);  // one of them
   void failed_connect() { ++figures_.failed_connects; }
@@ -72,6 +76,8 @@
   std::optional<Time> started_;
   Life life_ = 0;
   std::uint64_t heard_ = 0;
+  Duration rest_{};
+  Time rests_until_{};
   std::vector<Connection> idle_;  // the one used last at the back
   std::vector<Connection> busy_;
 };
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -1,7 +1,6 @@
 // Connections to price servers where two events cross: an answer and the next request, a close and a write, a connect
 // and the end of what it was for. Each order is forced: what crosses is in the socket before the loop goes on.
 #include "facts.hpp"
-#include "node_host.hpp"
 #include "pool_host.hpp"
 
 namespace petrelrail::test {
@@ -58,6 +57,96 @@
   EXPECT_EQ(written, 1u);
 }
 
+// Once it has done so, what it may send yet finds no request out: its connections rest first.
+TEST_F(ServerCrossing, AServerThatAnsweredOutOfTurnHasItsConnectionsRest) {
+  Peer server(loop.io, answer);
+  warm(server);
+  server.wires[0]->send(http_answer("200 OK", "of another"));
+  ASSERT_TRUE(loop.until([&] { return figures().open == 0; }));
+  told = [&] {
+    told = nullptr;
+    server.on({});
+    server.wires[1]->came = nullptr;
+    send();  // at once
+  };
+  send();
+  ASSERT_TRUE(loop.until([&] { return !all(server).empty(); }));
+  server.wires[1]->send(http_answer("200 OK", "of another"));
+  ASSERT_TRUE(loop.until([&] { return server.wires[1]->ended; }));
+  EXPECT_EQ(ends.size(), 2u);
+  ASSERT_EQ(server.wires.size(), 3u);
+  answer(*server.wires[2]);
+  expect_end(2, Outcome::ok);
+  EXPECT_EQ(ends[2].answer.body, "x");
+  // When it has rested it is used again.
+  ASSERT_TRUE(passed(timers.now() + facts::kLongestRest));
+  server.wires[2]->came = answer;
+  send();
+  expect_end(3, Outcome::ok);
+  EXPECT_EQ(server.wires.size(), 3u);
+}
+// Also where the second answer lies behind the first one, or is found by the look before a write.
+TEST_F(ServerCrossing, HoweverASecondAnswerIsFoundTheConnectionsRest) {
+  for (const bool with_the_first : {true, false}) {
+    ends.clear();
+    Peer server(loop.io, answer);
+    upstream->update(kOne, server.at(), true);
+    if (with_the_first) {
+      server.on([](Wire& w) {
+        if (!w.message().empty()) w.send(http_answer("200 OK") + http_answer("200 OK"));
+      });
+      send();
+      expect_end(0, Outcome::reset);
+      server.on(answer);
+    } else {
+      send();
+      ASSERT_TRUE(ended(1));
+      put(*server.wires[0], http_answer("200 OK", "of another"));
+    }
+    send();
+    expect_end(1, Outcome::ok);
+    told = [&] {
+      told = nullptr;
+      send();  // at once
+    };
+    send();
+    ASSERT_TRUE(ended(4));
+    EXPECT_GE(server.wires.size(), 3u);
+  }
+}
+// Without a cause none is opened for it: of those that have rested the one used last, else the one that has longest.
+TEST_F(ServerCrossing, TheOneUsedLastOfThoseThatHaveRestedIsTaken) {
+  Peer server(loop.io, answer);
+  upstream->update(kOne, server.at(), true);
+  PoolFigures own;
+  Pool pool(kOne, own);
+  pool.settle(server.at(), std::nullopt);
+  std::vector<Pool::Connection> made;
+  for (std::size_t i = 0; i < 2; ++i) {
+    made.push_back(std::make_shared<ServerConnection>(*upstream, pool, loop.io));
+    pool.opened(made[i]);
+    auto m = std::make_shared<ClientRequest>();
+    m->method = http::verb::get, m->target = "/read", m->id = "r" + std::to_string(i);
+    const auto now = timers.now();
+    made[i]->open(server.at(), {RequestId(i), 0, kOne, now, now + 10s, m, {}, {}});
+    ASSERT_TRUE(ended(i + 1));
+  }
+  const Time first = made[0]->since(), second = made[1]->since();
+  ASSERT_LT(first, second);
+  const auto taken = [&](Time now) {
+    const auto c = pool.take(now, 30s);
+    pool.rest(c);
+    return c;
+  };
+  EXPECT_EQ(taken(second + facts::kRest), made[1]);
+  EXPECT_EQ(taken(second + facts::kRest - Duration(1)), made[0]);
+  EXPECT_EQ(taken(first + Duration(1)), made[0]);
+  EXPECT_EQ(own.idle, 2u);
+  pool.out_of_turn(second, second);
+  EXPECT_EQ(pool.take(first + facts::kRestOutOfTurn - Duration(1), 30s), nullptr);
+  EXPECT_EQ(taken(first + facts::kRestOutOfTurn), made[0]);
+}
+
 // ---- Between choice and write ---------------------------------------------------------------------------------
 
 // Its client went in the last instant: nothing was written, and to the server the connection idles as it did.
