Tests: crossings with price servers and between attempts, each order forced

Need: docs/terms.md's table of a connection's events had cells without a test: half a line while it rests, bytes as it is being closed, a close that crosses the request, a connect that comes up for nothing (nine causes), the last instant of a deadline, an answer to a given-up attempt, breaks in head, chunk and trailer, answers that never end; and of attempts: one unsafe to repeat, two never out at once, a reload that changes the class's effect in between.

What crosses is put into the socket before the loop goes on, or waits on the test's word; no sleeps. node_host.hpp keeps the configuration that a node was started with, for reloads.

--- /dev/null
+++ b/tests/attempt_crossing_test.cpp
@@ -0,0 +1,79 @@
+// From one attempt of a request to the next, through the whole node: what may be sent again, and when. Each order is
+// forced: the first attempt waits at a server until the test lets it break.
+#include "node_host.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+struct AttemptCrossing : NodeTest {
+  // A request whose first attempt has come to a server and waits there.
+  std::shared_ptr<Wire> asked(const Ask& a) {
+    respond = [this](Wire& w, const std::string&) {
+      if (!first) first = w.shared_from_this();
+    };
+    const auto w = client();
+    w->send(a.text());
+    EXPECT_TRUE(loop.until([&] { return first != nullptr; }));
+    return w;
+  }
+  void serve_the_next() {
+    respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", "served")); };
+  }
+  void reload(std::size_t cls, Effect effect) {
+    config.named.settings.classes.at(cls).effect = effect;
+    node->reconfigure(config);
+  }
+  std::shared_ptr<Wire> first;
+};
+// What may have run is not sent again, in whatever way the first attempt breaks, nor called harmless to try again.
+TEST_F(AttemptCrossing, AnUnsafeOneThatMayHaveRunIsSentOnce) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  start();
+  for (const std::string& text :
+       {std::string("HTTP/1.1 20"), chunked + "5\r\nab", chunked + "2\r\nab\r\n0\r\nX-T: 1\r\n",
+        http_answer("200 OK") + http_answer("200 OK")}) {
+    seen.clear(), first = nullptr;
+    const auto w = asked(notice());
+    serve_the_next();
+    first->send(text, true);
+    const int s = status(w);
+    EXPECT_TRUE(s >= 500 && s != 503) << s << text;
+    EXPECT_EQ(seen.size(), 1u) << text;
+    EXPECT_EQ(status(Ask{}), 200);
+  }
+}
+// The first attempt's connection is closed before the second is written, though the server still holds it open.
+TEST_F(AttemptCrossing, TwoAttemptsAreNeverOutAtOnce) {
+  start();
+  const auto w = asked(Ask{});
+  std::shared_ptr<Wire> next;
+  respond = [&](Wire& c, const std::string&) { next = c.shared_from_this(); };
+  first->send("HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return next && first->ended; }));
+  next->send(http_answer("200 OK", "served"));
+  EXPECT_EQ(status(w), 200);
+  EXPECT_EQ(seen.size(), 2u);
+}
+// What began under the old rules goes on under them.
+TEST_F(AttemptCrossing, AReloadThatMakesTheClassUnsafeLeavesWhatIsOutAsItWas) {
+  start();
+  const auto w = asked(Ask{});
+  reload(0, Effect::unsafe);
+  serve_the_next();
+  first->reset();
+  EXPECT_EQ(status(w), 200);
+  EXPECT_EQ(seen.size(), 2u);
+}
+TEST_F(AttemptCrossing, AReloadThatMakesTheClassSafeLeavesWhatIsOutAsItWas) {
+  start();
+  const auto w = asked(notice());
+  reload(2, Effect::safe);
+  serve_the_next();
+  first->reset();
+  const int s = status(w);
+  EXPECT_TRUE(s >= 500 && s != 503) << s;
+  EXPECT_EQ(seen.size(), 1u);
+}
+
+}  // namespace
+}  // namespace petrelrail::test
--- a/tests/node_host.hpp
+++ b/tests/node_host.hpp
@@ -46,6 +46,7 @@
       if (one_server) break;
     }
     c.known = {{"revision", 1}, {"complete", true}, {"members", members}};
+    config = c;
     node.emplace(loop.io, std::move(c));
     node->start();
     const auto probe = client();
@@ -99,6 +100,7 @@
                  for (auto l = w.line(); !l.empty(); l = w.line()) w.send(l == "ping" ? "pong\r\n" : count());
                }};
   Peer agent{loop.io};
+  NodeConfig config;  // that it was started with
   std::optional<Node> node;
 };
 
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -170,6 +170,143 @@
   EXPECT_EQ(written, 2u);
 }
 
+// Half a line of an answer while it rests, told by the loop or not yet.
+TEST_F(ServerCrossing, HalfALineThatComesWhileItRestsEndsIt) {
+  for (const bool told_of : {true, false}) {
+    ends.clear();
+    Peer server(loop.io, answer);
+    upstream->update(kOne, server.at(), true);
+    send();
+    ASSERT_TRUE(ended(1));
+    put(*server.wires[0], "HTTP/1.1 2");
+    if (told_of) {
+      ASSERT_TRUE(loop.until([&] { return figures().open == 0; }));
+    }
+    send();
+    expect_end(1, Outcome::ok);
+    EXPECT_EQ(server.wires.size(), 2u);
+  }
+}
+TEST_F(ServerCrossing, BytesAsItIsBeingClosedAreForNobody) {
+  Peer server(loop.io, answer);
+  warm(server);
+  put(*server.wires[0], http_answer("200 OK", "of another"));
+  upstream->update(kOne, server.at(), false);
+  EXPECT_EQ(figures().open, 0u);
+  ASSERT_TRUE(loop.until([&] { return server.wires[0]->ended; }));
+  EXPECT_EQ(ends.size(), 1u);
+}
+// The look before the write found nothing, and then the server closed: it may have run, and is written once.
+TEST_F(ServerCrossing, ACloseThatCrossesTheRequestIsAReset) {
+  for (const bool read_first : {true, false}) {
+    ends.clear(), written = 0;
+    Peer server(loop.io, answer);
+    upstream->update(kOne, server.at(), true);
+    send();
+    ASSERT_TRUE(ended(1));
+    const auto wire = server.wires[0];
+    wire->came = nullptr;
+    send();
+    if (read_first) {
+      ASSERT_TRUE(loop.until([&] { return !wire->in.empty(); }));
+    }
+    read_first ? wire->send("", true) : wire->close();
+    expect_end(1, Outcome::reset);
+    EXPECT_EQ(written, 2u);
+    EXPECT_EQ(server.wires.size(), 1u);
+    EXPECT_EQ(figures().open, 0u);
+  }
+}
+// The connect is up already, and the loop tells of it after what ends the attempt.
+TEST_F(ServerCrossing, AConnectThatComesUpForNothingIsNotWrittenTo) {
+  struct Case {
+    std::string what;
+    std::function<void(Peer&)> crosses;
+    Outcome outcome;
+    std::size_t kept;
+  };
+  Peer other(loop.io);
+  const std::vector<Case> cases{
+      {"given up", [&](Peer&) { upstream->cancel(RequestId(sent), 0); }, Outcome::cancelled, 0},
+      {"client gone", [&](Peer&) { gone.insert(RequestId(sent)); }, Outcome::never_sent, 1},
+      {"drains", [&](Peer& p) { upstream->update(kOne, p.at(), false); }, Outcome::never_sent, 0},
+      {"gone from the list", [&](Peer&) { upstream->retain({}); }, Outcome::never_sent, 0},
+      {"out by hand", [&](Peer&) { upstream->bar(kOne, true); }, Outcome::never_sent, 0},
+      {"at another address", [&](Peer&) { upstream->update(kOne, other.at(), true); }, Outcome::never_sent,
+       0},
+      {"began anew", [&](Peer& p) { upstream->update(kOne, p.at(), true, Time(1h)); }, Outcome::never_sent,
+       0},
+      {"vanished", [&](Peer& p) { p.stop(); }, Outcome::connect_failed, 0},
+      {"a successor serves", [&](Peer&) { upstream->keep(false), gone.insert(RequestId(sent)); },
+       Outcome::never_sent, 0}};
+  for (const auto& c : cases) {
+    ends.clear();
+    Peer server(loop.io);
+    upstream->update(kOne, server.at(), true);
+    send();
+    c.crosses(server);
+    ASSERT_TRUE(ended(1)) << c.what;
+    EXPECT_EQ(ends[0].outcome, c.outcome) << c.what;
+    EXPECT_EQ(figures().open, c.kept) << c.what;
+    EXPECT_EQ(figures().connecting, 0u) << c.what;
+    upstream->bar(kOne, false), upstream->keep(true);
+    upstream->release(kOne, 0);
+    if (c.outcome != Outcome::connect_failed) {
+      ASSERT_TRUE(loop.until([&] { return !server.wires.empty() && server.wires[0]->ended; })) << c.what;
+    }
+    EXPECT_EQ(all(server), "") << c.what;
+    EXPECT_EQ(written, 0u) << c.what;
+  }
+}
+// The time is over and the connect up, or the answer there, before the loop goes on: one outcome, and what is left of
+// the connection is no trap for the next attempt.
+TEST_F(ServerCrossing, TheLastInstantOfADeadline) {
+  const auto let_pass = [&](Time when) {
+    while (timers.now() < when) {}
+  };
+  Peer server(loop.io);
+  upstream->update(kOne, server.at(), true);
+  send(kOne, 50ms);
+  let_pass(timers.now() + 50ms);
+  expect_end(0, Outcome::never_sent);
+  EXPECT_EQ(written, 0u);
+  upstream->release(kOne, 0);
+  ASSERT_TRUE(loop.until([&] { return !server.wires.empty() && server.wires[0]->ended; }));
+  EXPECT_EQ(all(server), "");
+  server.wires.clear();
+
+  send(kOne, 500ms);
+  const Time until = timers.now() + 500ms;
+  ASSERT_TRUE(loop.until([&] { return !server.wires.empty() && !server.wires[0]->in.empty(); }));
+  put(*server.wires[0], http_answer("200 OK", "in time"));
+  let_pass(until);
+  ASSERT_TRUE(ended(2));
+  loop.io.poll();
+  ASSERT_EQ(ends.size(), 2u);
+  const bool served = ends[1].outcome == Outcome::ok;
+  EXPECT_TRUE(served || ends[1].outcome == Outcome::timeout);
+  EXPECT_EQ(figures().open, served ? 1u : 0u);
+  server.on(answer);
+  server.wires[0]->in.clear(), server.wires[0]->came = answer;
+  send();
+  expect_end(2, Outcome::ok);
+  EXPECT_EQ(ends[2].answer.body, "x");
+}
+TEST_F(ServerCrossing, AnAnswerToAGivenUpAttemptInTheInstantOfTheNextIsForNobody) {
+  Peer server(loop.io);
+  upstream->update(kOne, server.at(), true);
+  send();
+  ASSERT_TRUE(loop.until([&] { return !all(server).empty(); }));
+  server.on(answer);
+  put(*server.wires[0], http_answer("200 OK", "late"));
+  upstream->cancel(RequestId(1), 0);
+  send();
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(ends[0].outcome, Outcome::cancelled);
+  EXPECT_EQ(ends[1].outcome, Outcome::ok);
+  EXPECT_EQ(ends[1].answer.body, "x");
+}
+
 // ---- Answers that break, and that never end ---------------------------------------------------------------------
 
 // A line of chunks or a trailer without an end is no answer, and not kept.
@@ -191,6 +328,57 @@
     EXPECT_EQ(figures().open, 0u);
   }
 }
+// Wherever it breaks, by an end or a reset, nothing of it is told and its connection is of no more use.
+TEST_F(ServerCrossing, AnAnswerThatBreaksIsAReset) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& text :
+       {std::string("HTTP/1.1 20"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), chunked, chunked + "1",
+        chunked + "5\r\nab", chunked + "2\r\nab", chunked + "2\r\nab\r\n", chunked + "2\r\nab\r\n0\r\n",
+        chunked + "2\r\nab\r\n0\r\nX-T: 1\r\n", std::string("HTTP/1.1 102 Processing\r\n\r\n")})
+    for (const bool in_order : {true, false}) {
+      ends.clear();
+      Peer server(loop.io, [&](Wire& w) {
+        if (w.message().empty()) return;
+        if (in_order) return w.send(text, true);
+        put(w, text), w.reset();
+      });
+      upstream->update(kOne, server.at(), true);
+      send();
+      expect_end(0, Outcome::reset);
+      EXPECT_EQ(ends[0].answer.body + streamed, "") << text;
+      EXPECT_EQ(figures().open, 0u) << text;
+    }
+}
+// It goes on for as long as the client takes it, and ends with the client; one that nobody is passed has its time.
+TEST_F(ServerCrossing, AnAnswerThatNeverEndsEndsWithItsClientOrItsTime) {
+  Peer server(loop.io);
+  upstream->update(kOne, server.at(), true);
+  send();
+  ASSERT_TRUE(loop.until([&] { return !all(server).empty(); }));
+  const auto wire = server.wires[0];
+  wire->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string piece(facts::kPiece, 'x');
+  for (std::size_t n = 1; n <= 4; ++n) {
+    wire->send("4000\r\n" + piece + "\r\n");
+    ASSERT_TRUE(loop.until([&] { return streamed.size() == n * piece.size(); }));
+  }
+  EXPECT_TRUE(ends.empty());
+  upstream->cancel(RequestId(1), 0);
+  expect_end(0, Outcome::cancelled);
+  ASSERT_TRUE(loop.until([&] { return wire->ended; }));
+  for (const std::string& text :
+       {"HTTP/1.1 500 Oops\r\n\r\n" + piece, std::string("HTTP/1.1 102 Processing\r\n\r\n")}) {
+    ends.clear(), streamed.clear();
+    server.on([&](Wire& w) {
+      if (!w.message().empty()) w.send(text);
+    });
+    send(kOne, 100ms);
+    expect_end(0, Outcome::timeout);
+    EXPECT_EQ(streamed, "");
+    EXPECT_EQ(figures().open, 0u);
+  }
+}
 
 }  // namespace
 }  // namespace petrelrail::test
