--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -21,6 +21,8 @@
   return Outcome::error;
 }
 
+constexpr char kNothing = {};  // no answer begins with it
+
 }  // namespace
 
 ServerConnection::ServerConnection(Upstream& upstream, Pool& pool, asio::io_context& io)
@@ -59,11 +61,14 @@
   start();
 }
 
-// The loop tells of an end or of bytes some time after they came: the system is asked.
+// The loop tells of an end or of bytes some time after they came: the system is asked. What was there when the read
+// began is not in the socket any more, and the loop has not told of it either: it lies where the read puts it.
 bool ServerConnection::sound() {
+  const bool ahead = reads_ && *ahead_ != kNothing;
   char byte = 0;
-  return ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  const auto n = ahead ? 1 : ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) pool_.out_of_turn(upstream_.timers_.now(), since_);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 // The moment of the first byte. While the connection came up the client may have gone, the time run out or
@@ -77,14 +82,14 @@
   expect_answer();
   heard_ = pool_.times_heard();
   stage_ = Stage::writing;
-  broken_ = streams_ = paused_ = writes_ = false;
+  broken_ = stray_ = streams_ = paused_ = writes_ = false;
   answered_ = {};
   if (errand_->message && errand_->message->upload) return start_upload();
   const auto body = errand_->message ? asio::buffer(errand_->message->body) : asio::const_buffer();
   const std::array<asio::const_buffer, 2> parts{asio::buffer(head_), body};
   asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
-    if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
+    if (failed) return self->close(self->unwritten());  // it broke before the last byte was written
     self->written();
   });
 }
@@ -146,7 +151,7 @@
                     [self = shared_from_this()](const error_code& failed, std::size_t) {
                       self->writes_ = false;
                       if (self->stage_ != Stage::writing) return;
-                      if (failed) return self->close(Outcome::connect_failed);
+                      if (failed) return self->close(self->unwritten());
                       self->write_more();
                     });
 }
@@ -169,7 +174,7 @@
                     [self = shared_from_this(), last](const error_code& failed, std::size_t) {
                       self->writes_ = false;
                       if (self->stage_ != Stage::writing) return;
-                      if (failed) return self->close(Outcome::connect_failed);
+                      if (failed) return self->close(self->unwritten());
                       if (!last) return self->expect_more(Outcome::timeout), self->write_more();
                       auto& e = *self->errand_;
                       const Time now = self->upstream_.timers_.now();
@@ -182,17 +187,22 @@
 
 void ServerConnection::read() {
   if (stage_ == Stage::closed || std::exchange(reads_, true)) return;
-  socket_.async_read_some(buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize),
-                          [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
-                            self->on_read(failed, bytes);
-                          });
+  const auto space = buffer_.prepare(streams_ ? facts::kPiece : facts::kReadSize);
+  *static_cast<char*>(space.data()) = kNothing;
+  ahead_ = static_cast<const char*>(space.data());
+  socket_.async_read_some(space, [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
+    self->on_read(failed, bytes);
+  });
 }
 
 void ServerConnection::on_read(const error_code& failed, std::size_t bytes) {
   reads_ = false;
   if (stage_ == Stage::closed) return;
   // On a connection that idles there is nothing to read but its end.
-  if (stage_ == Stage::idle) return pool_.drop_stale(shared_from_this());
+  if (stage_ == Stage::idle) {
+    if (!failed) pool_.out_of_turn(upstream_.timers_.now(), since_);
+    return pool_.drop_stale(shared_from_this());
+  }
   if (failed) {
     // Only an orderly end closes an answer without a length. After a reset nobody knows how much of it is missing.
     error_code ended;
@@ -203,6 +213,10 @@
   }
   buffer_.commit(bytes);
   pool_.heard();
+  // A server starts on a request once its last byte has arrived. Where another was answered before, this is no answer
+  // to the one that is being written, which never runs if its last byte is kept back.
+  stray_ = stage_ == Stage::writing && errand_->connect == Duration{};
+  if (stray_) return pool_.out_of_turn(upstream_.timers_.now(), since_), broke();
   go_through();
 }
 
@@ -231,7 +245,8 @@
   error_code wrong;
   while (!parser_->is_done() && buffer_.size() > 0) {
     buffer_.consume(parser_->put(buffer_.data(), wrong));
-    if (wrong == http::error::need_more) return true;
+    // The parser leaves a line of chunks and a trailer where they are until they are whole.
+    if (wrong == http::error::need_more) return buffer_.size() < facts::kMostHeader;
     if (wrong) return false;
     // An interim answer (1xx) is followed by the final one.
     if (parser_->is_done() &&
@@ -314,7 +329,7 @@
 void ServerConnection::broke() {
   if (stage_ == Stage::writing) {
     // How much was written shows when the write ends.
-    if (errand_->message && errand_->message->upload && !writes_) return close(Outcome::connect_failed);
+    if (errand_->message && errand_->message->upload && !writes_) return close(unwritten());
     broken_ = true;
     error_code ignored;
     socket_.cancel(ignored);
@@ -325,7 +340,10 @@
 
 // What goes on after its end is no answer to one request: nobody knows where the right one ends.
 void ServerConnection::finish() {
-  if (buffer_.size() > 0 && errand_->message) return broke();
+  if (buffer_.size() > 0 && errand_->message) {
+    const Time now = upstream_.timers_.now();
+    return pool_.out_of_turn(now, now), broke();
+  }
   const bool lasts = parser_->keep_alive();  // not where the answer ends with the connection
   auto response = parser_->release();
   const bool keep = lasts && stage_ == Stage::waiting && buffer_.size() == 0;
@@ -370,8 +388,8 @@
   upstream_.timers_.cancel(hold_);
   const auto errand = std::exchange(errand_, std::nullopt);
   if (stage_ != Stage::closed) {
-    stage_ = Stage::idle;
-    since_ = upstream_.timers_.now();
+    // One that was taken and not written to idles on, as its server sees it.
+    if (std::exchange(stage_, Stage::idle) != Stage::idle) since_ = upstream_.timers_.now();
     upstream_.rest(self, pool_);
   }
   if (errand) upstream_.report(*errand, outcome, std::move(answer));
