Module: its timers stand in its own namespace; two classes of one name met in the program

Cause: src/timers.hpp and src/node/net.hpp each defined petrelrail::Timers. In one program that is undefined; where the destructor is not inlined the linker keeps one of the two, and the module's timers were destroyed as the node's, over memory of another layout. In an unoptimised build every test of a whole node ended in a segmentation fault at its end (Gateway::Logic::~Logic -> Timers::~Timers of net.hpp). Release builds inline it and do not show it.

Change: src/timers.hpp is in petrelrail::policy, like the parts that use it. src/policy/ is as it was.

Result, at -O0 without NDEBUG on: NodeTest.SessionsAreKept and CrowdTest.WhatItWasLentIsHadBack ended with signal 11 before; with the change NodeTest.S* went on to SlowClientIsTimedOut, where an assertion of Beast ends it (content_length() before a head is done, on the client's side): open. Release: the module and policy_test.cpp compile without a warning.

--- a/src/timers.hpp
+++ b/src/timers.hpp
@@ -6,7 +6,7 @@
 
 #include "turn.hpp"
 
-namespace petrelrail {
+namespace petrelrail::policy {
 
 class Timers {
  public:
@@ -46,4 +46,4 @@
   std::uint64_t timers_ = 0;
 };
 
-}  // namespace petrelrail
+}  // namespace petrelrail::policy
