Discovery: a list that can't be read whole leaves the version where it was

Discovery::take set its version before the list was told, and took the version of a list of which a member could not be read. What that member said, or the whole list where telling it failed, was never asked for again: the watch went on from after it. A whole list with a bad member also dropped the server that the member was about. And `up_since_ms` beyond what a clock shows overflowed.

Now the version is set last and of whole lists alone. The members that can be read still count, as they are told (the test of that stands unchanged), as changes, since such a list does not say who has gone; the watch is begun anew from the version that is held, after the usual pauses. One line of the log tells of the first of a row, as it may repeat; the kinds (heads, texts, lists, members) are counted one by one.

Ruled out: dropping the readable members as well. They count as told, and a bad member that stays would hide all others.

Tests: MalformedLists, 31 bad members (each as changes and as a whole list), 12 bad lists, 10 bad texts, telling that fails, a bad `known`.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -136,38 +136,50 @@
     n.address = *address;
     n.info.cell = small(e, "cell");
     if (const auto* up = optional_field(e, "up_since_ms"))
-      if (const auto ms = integer_of(*up, "up_since_ms"); ms > 0)
-        n.info.started = Time(std::chrono::milliseconds(ms));
+      if (const std::chrono::milliseconds ms{integer_of(*up, "up_since_ms")}; ms.count() > 0) {
+        if (ms > std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max()))
+          wrong("up_since_ms", "a time that a clock can show");
+        n.info.started = Time(ms);
+      }
     if (const auto* size = optional_field(e, "size")) n.info.weight = reading::number_of(*size, "size");
     n.info.zone = zone_of(text(e, "locality"));
     n.info.id = number_of(id);
     return n;
   } catch (const std::exception& x) {
-    log::warning("discovery", "an entry is passed over", {{"why", x.what()}});
+    malformed(figures_.bad_members, "an entry is passed over", x.what());
     return std::nullopt;
   }
 }
 
-// An entry that can't be read is passed over; the rest of the list still counts. False if nothing can be read.
+// False if it can't be read whole. Then the version stays as it was, so that what was said is asked for again. An entry
+// that can't be read is passed over and the others count, as they are told; but such a list does not say who has gone.
 bool Discovery::take(const json& list, bool cached) {
   try {
     object_of(list, "list");
     const auto revision = natural_of(field(list, "revision"), "revision");
     const bool complete = truth(list, "complete");
+    const auto& members = list_of(field(list, "members"), "members");
     std::vector<Entry> entries;
-    for (const auto& e : list_of(field(list, "members"), "members"))
+    for (const auto& e : members)
       if (auto n = entry(e)) entries.push_back(std::move(*n));
-    // A complete list of which nothing could be read says nothing of the servers that were known.
-    if (complete && entries.empty() && !field(list, "members").empty()) return false;
+    const bool whole = entries.size() == members.size();
+    if (whole || !entries.empty())
+      told_(cached ? ListKind::cached : complete && whole ? ListKind::full : ListKind::changes, entries);
+    if (!whole) return false;
     revision_ = revision;
-    told_(cached ? ListKind::cached : complete ? ListKind::full : ListKind::changes, entries);
+    complains_ = true;
     return true;
   } catch (const std::exception& x) {
-    log::warning("discovery", "a list is passed over", {{"why", x.what()}});
+    malformed(figures_.bad_lists, "a list is passed over", x.what());
     return false;
   }
 }
 
+void Discovery::malformed(std::uint64_t& kind, std::string_view what, std::string_view why) {
+  ++kind;
+  if (std::exchange(complains_, false)) log::warning("discovery", what, {{"why", std::string(why)}});
+}
+
 // ---- The watch and the questions beside it ---------------------------------------------------------------
 
 void Discovery::open_watch() {
@@ -243,9 +255,12 @@
   while (!q.parser.is_done() && q.buffer.size() > 0) {
     q.buffer.consume(q.parser.put(q.buffer.data(), wrong));
     if (wrong == http::error::need_more) break;
-    if (wrong) return Came::unreadable;
+    if (wrong)
+      return malformed(figures_.bad_heads, "an answer is passed over", wrong.message()), Came::unreadable;
   }
-  if (q.parser.is_header_done() && q.parser.get().result() != http::status::ok) return Came::unreadable;
+  if (q.parser.is_header_done() && q.parser.get().result() != http::status::ok)
+    return malformed(figures_.bad_heads, "an answer is passed over", "its status is not 200"),
+           Came::unreadable;
   return take_text(q, std::exchange(q.parser.get().body(), {}));
 }
 
@@ -253,24 +268,28 @@
 // Where what came can't be read, what was in it is not known: the watch is begun again from the last version that could
 // be read.
 Discovery::Came Discovery::take_text(Question& q, std::string_view text) {
+  const auto no_list = [this](std::string_view why) {
+    malformed(figures_.bad_texts, "a list is passed over", why);
+    return Came::unreadable;
+  };
   auto came = Came::nothing;
   for (const char c : text) {
     const bool white = c == ' ' || c == '\t' || c == '\r' || c == '\n';
     if (q.depth == 0) {
       if (c == '\n' && std::exchange(q.blank_line, true) && q.watch) came = Came::line;
       if (white) continue;
-      if (c != '{') return Came::unreadable;
+      if (c != '{') return no_list("it is no object");
       q.quoted = q.escaped = false;
     }
     q.list += c;
     if (q.quoted) {
-      if (c == '\n') return Came::unreadable;
+      if (c == '\n') return no_list("it is cut short");
       q.quoted = q.escaped || c != '"';
       q.escaped = !q.escaped && c == '\\';
       continue;
     }
     // An empty line says that all is well, and none stands within a list: this one was cut short.
-    if (c == '\n' && std::exchange(q.blank_line, true)) return Came::unreadable;
+    if (c == '\n' && std::exchange(q.blank_line, true)) return no_list("it is cut short");
     q.blank_line = q.blank_line && white;
     q.quoted = c == '"';
     if (c == '{' || c == '[') ++q.depth;
@@ -279,15 +298,17 @@
     came = Came::line;
     if (!q.watch || q.owner == nullptr) return came;
   }
-  return q.list.size() <= facts::kMostList ? came : Came::unreadable;
+  return q.list.size() <= facts::kMostList ? came : no_list("it is too long");
 }
 
 // What a watch says of a time before the whole list that was taken beside it is known already, and was overtaken by it.
 bool Discovery::take_list(Question& q, const std::string& text) {
   const auto list = json::parse(text, nullptr, false);
-  if (list.is_discarded()) return false;
+  if (list.is_discarded())
+    return malformed(figures_.bad_texts, "a list is passed over", "it is no JSON"), false;
   const auto complete = list.value("complete", json());
-  if (!q.watch && complete != true) return false;
+  if (!q.watch && complete == false)
+    return malformed(figures_.bad_lists, "a list is passed over", "it is not whole"), false;
   const auto revision = list.value("revision", json());
   if (q.watch && beside_ && complete == false && revision.is_number_unsigned() && revision < *beside_)
     return true;
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -50,7 +50,9 @@
     std::uint64_t watches = 0, questions = 0;  // opened
     std::uint64_t lost = 0;                    // refused, reset, closed by the agent
     std::uint64_t silent = 0;                  // given up for what did not come in time
-    std::uint64_t unreadable = 0;              // a head or a list that says nothing
+    std::uint64_t unreadable = 0;              // ended for one of those that follow
+    // What came malformed: heads, chunks and refusals; texts that are no JSON; lists without what each has; members.
+    std::uint64_t bad_heads = 0, bad_texts = 0, bad_lists = 0, bad_members = 0;
   };
 
   // `drain_grace`: of the settings, see facts::agent_limits; where it is not given the limits are the longest.
@@ -83,6 +85,7 @@
   ZoneIndex zone_of(const std::string& name);
   std::optional<Entry> entry(const nlohmann::json& e);
   bool take(const nlohmann::json& list, bool cached);
+  void malformed(std::uint64_t& kind, std::string_view what, std::string_view why);
 
   void open_watch();
   void ask();
@@ -117,6 +120,7 @@
   Timers::Handle next_question_;         // none: the watch has been heard
   Duration backoff_{};
   Figures figures_;
+  bool complains_ = true;  // of the first of a row of malformed lists
 };
 
 }  // namespace petrelrail
--- a/tests/watch_crossing_test.cpp
+++ b/tests/watch_crossing_test.cpp
@@ -327,6 +327,94 @@
   EXPECT_EQ(told.size(), 1U);
   EXPECT_EQ(discovery.revision(), 41U);
 }
+// Lists that can't be read whole: what is good in them is told, the version stays, and what they said is asked for again.
+struct MalformedLists : WatchCrossing {
+  using Kind = std::uint64_t Discovery::Figures::*;
+  static std::string with(const std::string& key, const std::string& value) {
+    auto m = nlohmann::json::parse(member("s-0000000b"));
+    if (value.empty()) return m.erase(key), m.dump();
+    return m[key] = nlohmann::json::parse(value), m.dump();
+  }
+  // Of each kind one, in turn: as changes and as a whole list, on the watch.
+  void each(const std::vector<std::string>& bad, Kind kind, std::size_t told_each) {
+    on_watch = [&](Wire& w) {
+      if (watches.size() <= bad.size()) w.send(kHead + chunk(bad[watches.size() - 1] + "\n\n"));
+    };
+    discovery.tune(80ms);  // short pauses
+    start();
+    ASSERT_NE(watch(bad.size() + 1), nullptr);
+    for (const auto& line : asked) EXPECT_EQ(line, "GET /api/targets?watch=1&from=41 HTTP/1.1");
+    EXPECT_EQ(discovery.revision(), 41U);
+    EXPECT_EQ(discovery.figures().*kind, bad.size());
+    EXPECT_EQ(discovery.figures().unreadable, bad.size());
+    ASSERT_EQ(told.size(), 1 + told_each * bad.size());
+    for (std::size_t i = 1; i < told.size(); ++i) {
+      EXPECT_EQ(told[i].kind, ListKind::changes) << i;  // also of a whole list: it does not say who has gone
+      ASSERT_EQ(told[i].entries.size(), 1U) << i;
+      EXPECT_EQ(told[i].entries[0].info.id, ServerId(12)) << i;
+    }
+    // What the agent says next is taken as ever.
+    watches.back()->send(kHead + chunk(list(60, true, member("s-0000000b")) + "\n"));
+    ASSERT_TRUE(wait_for(told.size() + 1));
+    EXPECT_EQ(discovery.revision(), 60U);
+  }
+};
+TEST_F(MalformedLists, OfAMemberThatIsMalformedTheOthersAreTaken) {
+  std::vector<std::string> members{"5", "null", "[]", R"("s-0000000b")", "{}"};
+  for (const auto* key : {"id", "host_port", "locality", "cell", "phase"}) members.push_back(with(key, ""));
+  for (const auto* id : {"7", "null", "[]"}) members.push_back(with("id", id));
+  for (const auto* at : {"nowhere", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "x:7070"})
+    members.push_back(with("host_port", nlohmann::json(at).dump()));
+  for (const auto* phase : {R"("STARTING")", R"("serving")", "1"}) members.push_back(with("phase", phase));
+  for (const auto* cell : {R"("3")", "-1", "1.5", "4294967296"}) members.push_back(with("cell", cell));
+  for (const auto* up : {R"("0")", "1.5", "9223372036854775807", "18446744073709551615"})
+    members.push_back(with("up_since_ms", up));
+  members.push_back(with("size", R"("big")"));
+  std::vector<std::string> bad;
+  for (const auto& m : members)
+    for (const bool complete : {false, true})
+      bad.push_back(list(50, complete, m + "," + member("s-0000000c")));
+  each(bad, &Discovery::Figures::bad_members, 1);
+}
+TEST_F(MalformedLists, AListWithoutWhatEachHasIsDroppedWhole) {
+  const auto m = R"("members":[)" + member("s-0000000b") + "]}";
+  std::vector<std::string> bad{"{}"};
+  for (const auto* revision : {"", R"("revision":"50",)", R"("revision":-1,)", R"("revision":5.5,)"})
+    bad.push_back(std::string("{") + revision + R"("complete":true,)" + m);
+  for (const auto* complete : {"", R"("complete":1,)", R"("complete":"no",)"})
+    bad.push_back(R"({"revision":50,)" + std::string(complete) + m);
+  for (const auto* members : {"", R"(,"members":{})", R"(,"members":null)", R"(,"members":5)"})
+    bad.push_back(R"({"revision":50,"complete":true)" + std::string(members) + "}");
+  each(bad, &Discovery::Figures::bad_lists, 0);
+}
+TEST_F(MalformedLists, ATextThatIsNoJsonIsDroppedWhole) {
+  const auto good = list(50, true, member("s-0000000b"));
+  std::vector<std::string> bad{"5", "[]", "rubbish", "{]", R"({"a":nothing})", R"({"a":1e999})", R"({"a":)"};
+  bad.push_back(std::string("{").append(good));
+  bad.push_back(good.substr(0, good.size() / 2) + "\n");
+  bad.push_back(good.substr(1));
+  each(bad, &Discovery::Figures::bad_texts, 0);
+}
+// Telling may fail half way: it is told again with the next list.
+TEST_F(MalformedLists, AListThatCouldNotBeToldIsAskedForAgain) {
+  int fails = 1, came = 0;
+  Discovery other{loop.io, timers, agent.at(), agent.text(), {{"a", 0}}, [&](ListKind kind, const auto&) {
+                    if (kind != ListKind::cached && fails-- > 0) throw std::runtime_error("no memory, say");
+                    ++came;
+                  }};
+  on_watch = [&](Wire& w) { w.send(kHead + chunk(list(50, false, member("s-0000000b")) + "\n")); };
+  other.start(nlohmann::json::parse(list(41, true, member("s-0000000a"))));
+  ASSERT_TRUE(loop.until([&] { return came == 2; }));
+  EXPECT_EQ(asked, std::vector<std::string>(2, "GET /api/targets?watch=1&from=41 HTTP/1.1"));
+  EXPECT_EQ(other.revision(), 50U);
+}
+// What was known at the start may be malformed as well: then the whole list is asked for.
+TEST_F(MalformedLists, AKnownListWithABadMemberIsAskedForWhole) {
+  start(list(41, true, "{}," + member("s-0000000c")));
+  ASSERT_NE(watch(), nullptr);
+  EXPECT_EQ(told.at(0).entries.size(), 1U);
+  EXPECT_EQ(asked[0], "GET /api/targets?watch=1&from=0 HTTP/1.1");
+}
 // What is under way when the list ends finds nobody.
 TEST_F(WatchCrossing, ItMayEndWhileConnectionsAreOut) {
   auto other = std::make_unique<Discovery>(
