Tests: a start begins the watch before clients are listened for

The order had no test. Where the address is taken the program ends for it; that the agent was called all the same shows that it was called before. On the real program; nothing has to be timed.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -375,6 +375,12 @@
 }
 TEST_F(BadConfig, KnownIsNoList) { config["known"] = 5, expect_named("'known'"); }
 TEST_F(BadConfig, AddressIsTaken) { config["listen"] = agent.text(), expect_named("'listen'"); }
+// A start begins the watch before it listens: where it can't listen, and ends for it, the agent was called all the same.
+TEST_F(BadConfig, TheWatchIsBegunBeforeClientsAreListenedFor) {
+  config["listen"] = server.text();
+  expect_named("'listen'");
+  EXPECT_TRUE(loop.until([&] { return !agent.wires.empty(); }, 1s));
+}
 
 }  // namespace
 }  // namespace petrelrail::test
