SIGHUP: keys that need a new start are named, and the rest is taken

`name`, `listen`, `limits.sockets`, `peer_listen`, `peers`, `peers_all`, `control` and `members` can't change while the node runs, and a file that changed them was taken without a word. One line now names the keys that the file has otherwise than the start had: `has no effect until the next start keys=listen,limits.sockets`.

Ruled out: turning such a file down.

Test: Crossing.KeysThatNeedANewStartAreNamedAtHangUpAndTheRestIsTaken.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -232,13 +232,30 @@
   return text.str();
 }
 
+// What can't change while the node runs stays as it was at the start: one line names the keys of the file that say
+// otherwise. The rest of it is taken: a file turned down for them would lose where discovery is now.
+void warn_of_unchanged(const json& at_start, const json& next) {
+  static constexpr std::array<const char*, 8> fixed{"/name",  "/listen",    "/limits/sockets", "/peer_listen",
+                                                    "/peers", "/peers_all", "/control",        "/members"};
+  std::string keys;
+  for (const auto* key : fixed) {
+    const json::json_pointer at(key);
+    if (at_start.value(at, json()) == next.value(at, json())) continue;
+    if (!keys.empty()) keys += ',';
+    for (const char c : std::string_view(key).substr(1)) keys += c == '/' ? '.' : c;
+  }
+  if (!keys.empty()) log::warning("node", "has no effect until the next start", {{"keys", keys}});
+}
+
 // A new configuration that can't be read changes nothing.
-void reconfigure_on(asio::signal_set& signals, Node& node, const Source& source, json& in_force) {
+void reconfigure_on(asio::signal_set& signals, Node& node, const Source& source, const json& at_start,
+                    json& in_force) {
   signals.async_wait([&](const error_code& failed, int) {
     if (failed) return;
     try {
       auto next = read_config(source, &in_force);
       node.reconfigure(next.node);
+      warn_of_unchanged(at_start, next.file);
       in_force = std::move(next.file);
       node.reloaded(true);
       log::info("node", "configuration read again");
@@ -246,7 +263,7 @@
       node.reloaded(false);
       log::warning("node", std::string("the configuration stays as it was: ") + x.what());
     }
-    reconfigure_on(signals, node, source, in_force);
+    reconfigure_on(signals, node, source, at_start, in_force);
   });
 }
 
@@ -284,7 +301,8 @@
     if (!failed) node.drain([&io] { io.stop(); });
   });
   asio::signal_set hang_ups(io, SIGHUP);
-  reconfigure_on(hang_ups, node, source, config.file);
+  const json at_start = config.file;
+  reconfigure_on(hang_ups, node, source, at_start, config.file);
   try {
     node.start();
   } catch (const boost::system::system_error& x) {
--- a/tests/process_settings_test.cpp
+++ b/tests/process_settings_test.cpp
@@ -110,6 +110,51 @@
   }
 }
 
+// What can't change while the node runs is named, in one line; the rest of the file is taken.
+TEST_F(Crossing, KeysThatNeedANewStartAreNamedAtHangUpAndTheRestIsTaken) {
+  config["peer_listen"] = "127.0.0.1:1";
+  run();
+  ASSERT_TRUE(up());
+  const auto started = config;
+  Peer agent_now(loop.io), agent_last(loop.io);
+  int taken = 0;
+  const auto hang_up = [&] {
+    write_config();
+    kill(child, SIGHUP);
+    EXPECT_TRUE(loop.until([&] { return figure("node_reload_success") == std::to_string(taken + 1); }));
+    ++taken;
+  };
+  const auto named = [&] {
+    const std::string words = "has no effect until the next start keys=";
+    std::vector<std::string> keys;
+    std::istringstream text(log());
+    for (std::string line; std::getline(text, line);)
+      if (const auto at = line.find(words); at != std::string::npos)
+        keys.push_back(line.substr(at + words.size()));
+    return keys;
+  };
+  config["discovery"] = agent_now.text();
+  config["limits"]["memory_mb"] = 64, config["seed"] = "0000000000000001";  // nothing follows from these
+  hang_up();
+  EXPECT_TRUE(loop.until([&] { return !agent_now.wires.empty(); }));
+  EXPECT_TRUE(named().empty()) << log();
+  config["discovery"] = agent_last.text();
+  config["name"] = "n9", config["listen"] = "127.0.0.1:1", config["limits"]["sockets"] = 99;
+  config["peer_listen"] = config["control"] = "127.0.0.1:2";
+  hang_up();
+  EXPECT_TRUE(loop.until([&] { return !agent_last.wires.empty(); }));
+  EXPECT_EQ(named(), std::vector<std::string>{"name,listen,limits.sockets,peer_listen,control"}) << log();
+  // Told again as long as the file says something else than the start did, and no longer.
+  hang_up();
+  EXPECT_EQ(named().size(), 2U);
+  config = started;
+  hang_up();
+  EXPECT_EQ(named().size(), 2U);
+  const auto w = loop.connect(listen);
+  w->send(ProcessTest::ask());
+  EXPECT_TRUE(served(w));
+}
+
 // ---- Calls that are none ----------------------------------------------------------------------------------------
 
 TEST_F(Crossing, ControlCallsThatAreNoneAreAnsweredOrEndAndHoldUpNobody) {
