Clients own the last moment before SIGKILL; the node waits for the same

Node::drain and Clients::last_word reckoned it each for itself, the latter anew at each call: with a SIGHUP after SIGTERM the two could differ. It is reckoned once, when the end begins, and read by both.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -594,6 +594,10 @@
 void Clients::drain() {
   draining_ = true;
   last_accept_ = told_to_end_ = timers_.now();
+  Duration longest{};
+  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
+  last_word_ = told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm -
+               facts::kLastWord;
   if (retired_) return;  // they are told with their next answers
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all)
@@ -605,17 +609,10 @@
 void Clients::end_in_time(ClientRequest& request) const {
   const Time now = timers_.now();
   if (!draining_ || now - told_to_end_ <= facts::kNewAfterTerm) return;
-  const Time last = last_word();
-  if (request.deadline <= last) return;
-  if (last <= now) throw BadRequest(http::status::service_unavailable, "this process ends");
-  request.deadline = last;
-  request.arrival.time_left = last - now;
-}
-
-Time Clients::last_word() const {
-  Duration longest{};
-  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
-  return told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord;
+  if (request.deadline <= last_word_) return;
+  if (last_word_ <= now) throw BadRequest(http::status::service_unavailable, "this process ends");
+  request.deadline = last_word_;
+  request.arrival.time_left = last_word_ - now;
 }
 
 // Clients that have their answers and do not close don't hold the process up to SIGKILL.
@@ -623,7 +620,7 @@
   const Time now = timers_.now();
   if (!draining_ || now - last_accept_ <= facts::kNewAfterTerm) return false;
   return sessions_.empty() ||
-         (now >= last_word() && std::ranges::all_of(sessions_, [](const auto& s) { return s->lingers(); }));
+         (now >= last_word_ && std::ranges::all_of(sessions_, [](const auto& s) { return s->lingers(); }));
 }
 
 }  // namespace petrelrail
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -158,6 +158,8 @@
   // From now on every answer ends its connection, and those without a request are closed.
   void drain();
   bool drained() const;
+  // By when the last answers have to leave before SIGKILL; it is known once drain() was called.
+  Time last_word() const { return last_word_; }
   void limit(std::size_t most_sessions) { most_sessions_ = most_sessions; }
   std::size_t size() const { return sessions_.size(); }
   std::size_t share() const { return most_sessions_; }
@@ -171,7 +173,6 @@
   void begin();
   void accept();
   void end_in_time(ClientRequest& request) const;
-  Time last_word() const;  // by which the last answers have left before SIGKILL
   std::shared_ptr<ClientSession> longest_silent() const;
   void sweep();
   void forget(const std::shared_ptr<ClientSession>& session);
@@ -188,7 +189,7 @@
   bool retired_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
   Time last_accept_{};
-  Time told_to_end_{};  // when it began to drain
+  Time told_to_end_{}, last_word_ = Time::max();  // when it began to drain, and has to have ended
 };
 
 }  // namespace petrelrail
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -253,11 +253,7 @@
     drains_until_ = timers_.now() + facts::kGivingOn;
   }
   if (peers_ && !succeeded_) peers_->leave();
-  Duration longest{};
-  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
-  for (const auto& l : leaving_) longest = std::max(longest, l.cls.deadline);
-  timers_.after(std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord,
-                [this] { give_up(); });
+  timers_.at(clients_.last_word(), [this] { give_up(); });
   wait_until_drained();
 }
 
