Tests: the hand-over between two processes, crossed by other events

SIGTERM and SIGHUP to either process or both, before the new one asks for the state and after; a successor killed before it has the socket and with it; a predecessor that is silent when asked; a successor that speaks rubbish. The order is forced: the new process can't be ready before the test tells it of a server, the old one is stopped, and what both have open shows in /proc.

--- /dev/null
+++ b/tests/handover_crossing_test.cpp
@@ -0,0 +1,247 @@
+// Two real processes of a node where the hand-over between them crosses another event: docs/terms.md has the table.
+#include <boost/asio/read.hpp>
+
+#include "agent.hpp"
+#include "upgrade.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+struct HandoverCrossing : Upgrade {
+  ~HandoverCrossing() override {
+    for (const auto p : others) kill(p, SIGKILL), waitpid(p, nullptr, 0);
+  }
+  // Both processes' connections to the agent that follows `known`: it tells of the server once `tells` is set.
+  HandoverCrossing() {
+    quiet.on([this](Wire& w) {
+      const auto port = std::to_string(server.at().port());
+      if (!w.message().empty() && tells)
+        w.send(kHead + chunk(list(2, true, member("s-00000001", "SERVING", port)) + "\n"));
+    });
+  }
+  // A new process beside the one that serves, which can't be ready before discovery names a server to it.
+  void begin() {
+    old = child;
+    known = std::exchange(config["known"]["members"], json::array());
+    config["discovery"] = quiet.text();
+    start_one();
+  }
+  void start_one() {
+    new_control = free_port();
+    config["control"] = "127.0.0.1:" + std::to_string(new_control.port());
+    run();
+    ASSERT_TRUE(loop.until([&] { return call(new_control, "GET", "/ready").starts_with("HTTP/1.1 503"); }))
+        << log();
+  }
+  // The same, and it has the listening socket, which it has in common with its predecessor.
+  void begin_with_socket() {
+    begin();
+    ASSERT_TRUE(loop.until([&] { return has_socket(); }));
+  }
+  bool has_socket() {
+    const auto mine = sockets_of(child), its = sockets_of(old);
+    return std::ranges::any_of(mine, [&](const auto& s) { return std::ranges::find(its, s) != its.end(); });
+  }
+  static std::vector<std::string> sockets_of(pid_t process) {
+    std::vector<std::string> all;
+    for (const auto& fd : std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd")) {
+      std::error_code gone;
+      const auto to = std::filesystem::read_symlink(fd, gone).string();
+      if (to.starts_with("socket:")) all.push_back(to);
+    }
+    return all;
+  }
+  bool logged(const std::string& words, int times = 1) {
+    return loop.until([&] { return count(words) >= times; });
+  }
+  int count(const std::string& words) {
+    const auto text = log();
+    int n = 0;
+    for (auto at = text.find(words); at != std::string::npos; at = text.find(words, at + 1)) ++n;
+    return n;
+  }
+  bool ready(const Tcp::endpoint& control) {
+    return loop.until([&] { return call(control, "GET", "/ready").starts_with("HTTP/1.1 200"); });
+  }
+  bool serves() { return asked(loop.connect(listen)).starts_with("HTTP/1.1 200"); }
+  // The exit status of a process that ends by itself; -1 if it does not.
+  int ended(pid_t& process) {
+    int status = 0;
+    if (!loop.until([&] { return waitpid(process, &status, WNOHANG) == process; })) return -1;
+    process = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+  }
+  void kill_now(pid_t& process) { kill(process, SIGKILL), waitpid(std::exchange(process, 0), nullptr, 0); }
+  // The process that serves can be followed, as ever.
+  void expect_followed() {
+    if (old > 0) others.push_back(std::exchange(old, 0));
+    const auto before = count("taken over from a predecessor");
+    config["known"]["members"] = known, config["discovery"] = agent.text();
+    ASSERT_NO_FATAL_FAILURE(upgrade());
+    EXPECT_EQ(count("taken over from a predecessor"), before + 1) << log();
+    EXPECT_TRUE(serves());
+  }
+
+  bool tells = false;
+  json known;
+  std::vector<pid_t> others;
+  Peer quiet{loop.io};
+};
+
+// ---- SIGTERM ------------------------------------------------------------------------------------------------------
+
+// The old process ends while the new one holds the socket and waits to be ready: it serves on with that socket, on which
+// clients that connect meanwhile wait, and it can be followed.
+TEST_F(HandoverCrossing, TermToTheOldOneBeforeTheNewOneAsks) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill(old, SIGTERM);
+  EXPECT_EQ(ended(old), 0);
+  EXPECT_TRUE(logged("the predecessor hands nothing over"));
+  tells = true;
+  EXPECT_TRUE(ready(new_control));
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
+// With a request out it stays for that, and hands over what it has.
+TEST_F(HandoverCrossing, TermToTheOldOneWithARequestOutBeforeTheNewOneAsks) {
+  start(old_control);
+  answers = false;
+  const auto out = loop.connect(listen);
+  out->send(ask());
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  answers = true;
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill(old, SIGTERM);
+  tells = true;
+  EXPECT_TRUE(logged("taken over from a predecessor"));
+  EXPECT_TRUE(ready(new_control));
+  EXPECT_TRUE(serves());
+  held->send(http_answer("200 OK", "served"));
+  EXPECT_TRUE(served(out));
+  EXPECT_EQ(ended(old), 0);
+  EXPECT_TRUE(serves());
+}
+TEST_F(HandoverCrossing, TermToTheNewOneAfterItHasTakenOver) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(upgrade());
+  known = config["known"]["members"];
+  const auto w = loop.connect(listen);
+  EXPECT_TRUE(asked(w).starts_with("HTTP/1.1 200"));
+  kill(child, SIGTERM);
+  EXPECT_EQ(ended(child), 0);
+  EXPECT_TRUE(logged("clients are served here again"));
+  child = std::exchange(old, 0);
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
+// Both at once: each finishes, and neither waits for the other.
+TEST_F(HandoverCrossing, TermToBoth) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill(child, SIGTERM), kill(old, SIGTERM);
+  EXPECT_EQ(ended(child), 0);
+  EXPECT_EQ(ended(old), 0);
+}
+
+// ---- SIGHUP -------------------------------------------------------------------------------------------------------
+
+TEST_F(HandoverCrossing, HangUpToBothBeforeTheNewOneAsks) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  Peer agent_now(loop.io);
+  agent_now.on([this](Wire& w) {
+    const auto port = std::to_string(server.at().port());
+    if (!w.message().empty() && tells)
+      w.send(kHead + chunk(list(2, true, member("s-00000001", "SERVING", port)) + "\n"));
+  });
+  config["discovery"] = agent_now.text();
+  std::ofstream(dir / "config.json") << config;
+  kill(old, SIGHUP), kill(child, SIGHUP);
+  EXPECT_TRUE(logged("configuration read again", 2)) << log();
+  EXPECT_TRUE(serves());  // by the old one
+  tells = true;
+  EXPECT_TRUE(ready(new_control));
+  EXPECT_EQ(count("taken over from a predecessor"), 1);
+  EXPECT_TRUE(serves());
+  kill(old, SIGTERM);
+  EXPECT_EQ(ended(old), 0);
+  EXPECT_TRUE(serves());
+}
+TEST_F(HandoverCrossing, HangUpToBothAfterTheNewOneHasTakenOver) {
+  start(old_control);
+  const auto kept = loop.connect(listen);
+  EXPECT_TRUE(asked(kept).starts_with("HTTP/1.1 200"));
+  ASSERT_NO_FATAL_FAILURE(upgrade());
+  Peer agent_now(loop.io);
+  config["discovery"] = agent_now.text();
+  std::ofstream(dir / "config.json") << config;
+  kill(old, SIGHUP), kill(child, SIGHUP);
+  EXPECT_TRUE(logged("configuration read again", 2)) << log();
+  EXPECT_TRUE(asked(kept).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(serves());
+}
+
+// ---- The other one ends, or is silent -----------------------------------------------------------------------------
+
+// Stopped before it has read a word, so that the successor is killed before it has the socket.
+TEST_F(HandoverCrossing, TheSuccessorIsKilledBeforeItHasTheSocket) {
+  start(old_control);
+  kill(child, SIGSTOP);
+  ASSERT_NO_FATAL_FAILURE(begin());
+  EXPECT_FALSE(has_socket());
+  kill_now(child);
+  kill(old, SIGCONT);
+  child = std::exchange(old, 0);
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
+TEST_F(HandoverCrossing, TheSuccessorIsKilledWhileItHasTheSocketAndHasNotAsked) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill_now(child);
+  child = std::exchange(old, 0);
+  EXPECT_TRUE(serves());
+  EXPECT_EQ(count("a successor takes over"), 0) << log();
+  expect_followed();
+}
+// It has given its socket: the new one serves with that, and no client is refused.
+TEST_F(HandoverCrossing, ThePredecessorIsSilentWhenItIsAskedForItsState) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill(old, SIGSTOP);
+  tells = true;
+  const auto w = loop.connect(listen);
+  w->send(ask());
+  EXPECT_TRUE(served(w)) << log();
+  EXPECT_EQ(count("the predecessor hands nothing over"), 1) << log();
+}
+
+// ---- Malformed messages ---------------------------------------------------------------------------------------------
+
+// A successor that is none, on the path where one is waited for: whatever it says, clients are served.
+TEST_F(HandoverCrossing, ASuccessorThatSpeaksRubbishLeavesTheOldOneServing) {
+  start(old_control);
+  known = config["known"]["members"];
+  const auto path = dir / ("petrelrail-" + config["listen"].get<std::string>() + ".sock");
+  const std::string take = "{\"take\":true}\n";
+  for (const std::string words :
+       {"what\n", "5\n", "{\"hello\":99}\n", "{\"other\":1}\n", "{\"take\":true}\nwhat\n",
+        "{\"take\":true}\n{\"leave_out\":7}\n", "{\"take\":true}\n{\"take\":true}\n"}) {
+    asio::basic_stream_socket<asio::local::stream_protocol, Executor> s(loop.io.get_executor());
+    s.connect(asio::local::stream_protocol::endpoint(path.string()));
+    const auto back = count("clients are served here again");
+    asio::write(s, asio::buffer(words));
+    std::string in;
+    error_code ended;
+    asio::read(s, asio::dynamic_buffer(in), ended);  // until the old one ends the link
+    if (words.starts_with(take)) {
+      EXPECT_TRUE(logged("clients are served here again", back + 1)) << words << log();
+    }
+    EXPECT_TRUE(serves()) << words;
+  }
+  expect_followed();
+}
+
+}  // namespace
+}  // namespace petrelrail::test
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -64,7 +64,7 @@
     const rlimit limit{descriptors, descriptors};
     setrlimit(RLIMIT_NOFILE, &limit);
     for (int fd = 3; fd < 100; ++fd) ::close(fd);
-    const int log = ::open((dir / "log").c_str(), O_CREAT | O_WRONLY, 0600);
+    const int log = ::open((dir / "log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     dup2(log, 1), dup2(log, 2);
     if (by_variable) setenv("GW_CONFIG", (dir / "config.json").c_str(), 1);
     execv(PETRELRAIL_PROGRAM, arguments.data());
