Hand-over: a process that ends removes its own socket file, not its successor's

Handover::~Handover removed whatever stood on the path. A predecessor that had been silent for its limit, so that the new process had started by itself and offered itself there, took that one's socket away when it ended: nobody could follow it, and what it held was lost at the next upgrade. The same could happen by a race, since the link was ended before the path was removed: the other process offers itself as soon as the link ends.

A process knows the file it made by device and number, and removes it before the link ends. A number is not given again while the socket is bound to it.

Test: HandoverCrossing.ThePredecessorIsSilentFromTheStart; it failed without the change. The race is not forced by a test.

--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -205,8 +205,9 @@
 
 Handover::~Handover() {
   timers_.cancel(limit_);
+  // First of all: once the link has ended the other process offers itself, on the same path.
+  if (acceptor_.is_open() && owns_path()) ::unlink(path_.c_str());
   if (link_) link_->abandon();
-  if (acceptor_.is_open()) ::unlink(path_.c_str());
 }
 
 bool Handover::seek() {
@@ -246,12 +247,21 @@
   if (!failed) acceptor_.bind(Local::endpoint(path_), failed);
   if (!failed) ::chmod(path_.c_str(), S_IRUSR | S_IWUSR);
   if (!failed) acceptor_.listen(1, failed);
+  struct stat made {};
+  if (!failed && ::stat(path_.c_str(), &made) == 0) bound_ = {made.st_dev, made.st_ino};
   if (!failed) return accept();
   log::warning("handover", "no successor can come", {{"why", failed.message()}});
   error_code ignored;
   acceptor_.close(ignored);
 }
 
+// A process that served beside this one, since this one was silent, may have taken the path for itself.
+bool Handover::owns_path() const {
+  struct stat there {};
+  return ::lstat(path_.c_str(), &there) == 0 &&
+         std::pair<std::uint64_t, std::uint64_t>(there.st_dev, there.st_ino) == bound_;
+}
+
 void Handover::accept() {
   acceptor_.async_accept([this](const error_code& failed, LocalSocket socket) {
     if (failed == asio::error::operation_aborted) return;
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -71,12 +71,14 @@
 
   void accept();
   void withdraw();
+  bool owns_path() const;
   void came(const nlohmann::json& message, Descriptor passed);
   void lost(const Link* link);
 
   asio::io_context& io_;
   Timers& timers_;
-  std::string path_;  // empty: nothing is handed over
+  std::string path_;                                 // empty: nothing is handed over
+  std::pair<std::uint64_t, std::uint64_t> bound_{};  // device and number of the file that was made there
   Owner& owner_;
   asio::basic_socket_acceptor<Local, Executor> acceptor_;
   std::shared_ptr<Link> link_;
--- a/tests/handover_crossing_test.cpp
+++ b/tests/handover_crossing_test.cpp
@@ -205,6 +205,20 @@
   EXPECT_EQ(count("a successor takes over"), 0) << log();
   expect_followed();
 }
+// A predecessor that is silent for its limit is not waited for; when it wakes it ends as told, and does not take away
+// the way by which the new one is followed.
+TEST_F(HandoverCrossing, ThePredecessorIsSilentFromTheStart) {
+  start(old_control);
+  kill(child, SIGSTOP);
+  ASSERT_NO_FATAL_FAILURE(begin());
+  EXPECT_TRUE(logged("the predecessor hands nothing over"));
+  tells = true;
+  EXPECT_TRUE(ready(new_control));
+  kill(old, SIGTERM), kill(old, SIGCONT);
+  EXPECT_EQ(ended(old), 0);
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
 // It has given its socket: the new one serves with that, and no client is refused.
 TEST_F(HandoverCrossing, ThePredecessorIsSilentWhenItIsAskedForItsState) {
   start(old_control);
