Hand-over: a process that was told to end takes nothing over

A new process that got SIGTERM while it waited to be ready still asked for the state in its last 0.6 s. The old one handed over its units, places and servers out by hand, was told half a second later that its successor had ended, and went on with nothing of it: Node::ask_when_ready did not look at whether the process ends.

Test: HandoverCrossing.TermToTheNewOneBeforeItAsks; it failed without the change.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -103,8 +103,9 @@
   ask_when_ready();
 }
 
+// One that was told to end takes nothing over: what the predecessor holds would end with it.
 void Node::ask_when_ready() {
-  if (serves_) return;
+  if (serves_ || drained_) return;
   if (ready()) return handover_.ask_state();
   timers_.after(facts::kAcceptPause, [this] { ask_when_ready(); });
 }
--- a/tests/handover_crossing_test.cpp
+++ b/tests/handover_crossing_test.cpp
@@ -122,6 +122,19 @@
   EXPECT_EQ(ended(old), 0);
   EXPECT_TRUE(serves());
 }
+// The new process ends before it has taken over: what the old one holds stays with it.
+TEST_F(HandoverCrossing, TermToTheNewOneBeforeItAsks) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  kill(child, SIGTERM);
+  EXPECT_FALSE(call(new_control, "GET", "/ready").starts_with("HTTP/1.1 200"));  // the signal came before
+  tells = true;
+  EXPECT_EQ(ended(child), 0);
+  EXPECT_EQ(count("a successor takes over"), 0) << log();
+  child = std::exchange(old, 0);
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
 TEST_F(HandoverCrossing, TermToTheNewOneAfterItHasTakenOver) {
   start(old_control);
   ASSERT_NO_FATAL_FAILURE(upgrade());
