Hand-over: of two successors at once the last one follows, and the other ends

A second successor that came while the first had the socket and waited to be ready took its place: the old process let the first link go. The first took that for the end of its predecessor and served by itself, on the socket it had, beside the one that followed: two processes of one name, each with leases and a watch of its own, and no way to the first but its process number.

The first is told `replaced` before its link ends. If it does not serve yet, it says `another process follows: this one ends` and ends, with nothing taken.

Ruled out: the second waiting for the first. One that never gets ready would keep a newer version from following.

Test: HandoverCrossing.OfTwoSuccessorsTheLastOneFollowsAndTheOtherEnds; it failed without the change.

--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -132,6 +132,12 @@
     return ::sendmsg(socket_.native_handle(), &m, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
   }
 
+  // Small enough for any socket's buffer.
+  void dismiss() {
+    static constexpr std::string_view words = "{\"replaced\":true}\n";
+    ::send(socket_.native_handle(), words.data(), words.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    abandon();
+  }
   void end() {
     if (const auto handover = std::exchange(handover_, nullptr)) {
       close();
@@ -266,8 +272,8 @@
   acceptor_.async_accept([this](const error_code& failed, LocalSocket socket) {
     if (failed == asio::error::operation_aborted) return;
     if (!failed) {
-      // The latest one counts: an earlier one that took nothing has no claim.
-      if (link_) std::exchange(link_, nullptr)->abandon();
+      // The latest one counts: an earlier one that took nothing has no claim, and is told so.
+      if (link_) std::exchange(link_, nullptr)->dismiss();
       link_ = std::make_shared<Link>(*this, std::move(socket));
       link_->read();
     }
@@ -297,6 +303,9 @@
     } else if (message.contains("listener") && passed) {
       timers_.cancel(limit_);
       owner_.listener_came(std::move(passed));
+    } else if (message.contains("replaced") && !acceptor_.is_open()) {
+      timers_.cancel(limit_);
+      owner_.replaced();
     } else if (message.contains("state") && !acceptor_.is_open()) {
       timers_.cancel(limit_);
       owner_.state_came(message.at("state"));
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -42,6 +42,7 @@
     // To the one that follows:
     virtual void listener_came(Descriptor socket) = 0;
     virtual void state_came(const nlohmann::json& state) = 0;
+    virtual void replaced() = 0;  // another process follows instead
     // To both:
     virtual void told_by_peer(const nlohmann::json& message) = 0;
     virtual void peer_lost() = 0;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -304,7 +304,7 @@
   const json at_start = config.file;
   reconfigure_on(hang_ups, node, source, at_start, config.file);
   try {
-    node.start();
+    node.start([&io] { io.stop(); });
   } catch (const boost::system::system_error& x) {
     throw FieldError(std::string("field 'listen': ") + x.code().message());
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,7 +53,8 @@
       [this](const CountAnswer& a) { happened(a); }, config_.seed);
 }
 
-void Node::start() {
+void Node::start(std::function<void()> replaced) {
+  replaced_ = std::move(replaced);
   discovery_.start(config_.known);
   if (config_.control) control_.listen(*config_.control);
   if (!handover_.seek()) serve();
@@ -148,6 +149,13 @@
   serve();
 }
 
+// Two that serve would be two nodes of one name.
+void Node::replaced() {
+  if (serves_ || !replaced_) return;
+  log::warning("handover", "another process follows: this one ends");
+  replaced_();
+}
+
 // Two processes of a node count as one until the other has gone.
 void Node::limit_descriptors(std::size_t taken_by_clients, std::size_t taken_by_servers) {
   const auto less = [](std::size_t all, std::size_t taken) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -48,7 +48,8 @@
  public:
   Node(asio::io_context& io, NodeConfig config);
 
-  void start();
+  // `replaced`: another process follows the predecessor instead of this one, which has nothing to do.
+  void start(std::function<void()> replaced = {});
   // Goes on with the settings of a new configuration, and with discovery and the counter where it says that
   // they are. Throws, and changes nothing, if it has what can't change while the node runs.
   void reconfigure(const NodeConfig& config);
@@ -89,6 +90,7 @@
   nlohmann::json leave_state() override;
   void listener_came(Descriptor socket) override;
   void state_came(const nlohmann::json& state) override;
+  void replaced() override;
   void told_by_peer(const nlohmann::json& message) override;
   void peer_lost() override;
   void view_changed(const fleet::View& view) override;
@@ -149,7 +151,7 @@
   std::deque<Event> events_;    // that have not been told yet
   bool telling_ = false;
   bool knows_servers_ = false;
-  std::function<void()> drained_;
+  std::function<void()> drained_, replaced_;
   std::unique_ptr<Counter> counter_;
   std::deque<std::unique_ptr<Counter>> left_;  // at former addresses, until their last calls are answered
   bool was_ready_ = false;
--- a/tests/handover_crossing_test.cpp
+++ b/tests/handover_crossing_test.cpp
@@ -270,5 +270,26 @@
   expect_followed();
 }
 
+// ---- A second successor ---------------------------------------------------------------------------------------------
+
+// The one that came last follows. The one before it, which has taken nothing, ends: two that serve would be two nodes of
+// one name.
+TEST_F(HandoverCrossing, OfTwoSuccessorsTheLastOneFollowsAndTheOtherEnds) {
+  start(old_control);
+  ASSERT_NO_FATAL_FAILURE(begin_with_socket());
+  pid_t first = child;
+  others.push_back(first);
+  config["known"]["members"] = known;
+  ASSERT_NO_FATAL_FAILURE(start(new_control));
+  EXPECT_EQ(ended(first), 0);
+  others.clear();
+  EXPECT_TRUE(logged("another process follows"));
+  EXPECT_EQ(count("the predecessor hands nothing over"), 0) << log();
+  kill(old, SIGTERM);
+  EXPECT_EQ(ended(old), 0);
+  EXPECT_TRUE(serves());
+  expect_followed();
+}
+
 }  // namespace
 }  // namespace petrelrail::test
