Discovery: an agent that holds a lower version is asked for the whole list

An agent that comes back empty, or stands at another address after SIGHUP, may hold a lower version than is held here. Its whole list was taken, whatever the version. But changes of a lower version were taken as well, on top of a list that the agent does not hold, and the version followed them; and where it has nothing to say of what is later and sends empty lines, the old list was kept for good: an empty line ended the asking.

Discovery::take_list passes over changes of a lower version than is held, and Discovery::heard ends the asking once what is held is what the agent holds: a list on this watch that goes on from the version held, or a whole one, on it or beside. Until then the whole list is asked for, at once and every `answer`. A question that was out when such changes came is begun anew, as its answer may be of before them.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -184,6 +184,7 @@
 
 void Discovery::open_watch() {
   beside_.reset();
+  agreed_ = false;
   watch_ = open(true);
 }
 
@@ -310,20 +311,32 @@
   if (!q.watch && complete == false)
     return malformed(figures_.bad_lists, "a list is passed over", "it is not whole"), false;
   const auto revision = list.value("revision", json());
-  if (q.watch && beside_ && complete == false && revision.is_number_unsigned() && revision < *beside_)
+  const bool changes = q.watch && complete == false && revision.is_number_unsigned();
+  if (changes && beside_ && revision < *beside_) return true;
+  if (changes && revision < revision_) {  // of another list than is held: asked for whole, from now on
+    agreed_ = false;
+    end_questions();
     return true;
+  }
   if (!take(list, false)) return false;
   if (!q.watch) beside_ = revision_;
+  agreed_ = true;
   return true;
 }
 
 void Discovery::heard(const Held& q) {
-  if (!q->watch) return end_questions();
-  q->has_line = true;
-  backoff_ = {};
-  timers_.cancel(next_question_);
-  end_questions();
-  give_up_after(q, timers_.now() + facts::kWatchSilent);
+  if (q->watch) {
+    q->has_line = true;
+    backoff_ = {};
+    give_up_after(q, timers_.now() + facts::kWatchSilent);
+  }
+  if (agreed_) {
+    end_questions();
+    if (watch_ && watch_->has_line) timers_.cancel(next_question_);
+  } else if (questions_.empty()) {
+    ask_later();
+    ask();
+  }
 }
 
 void Discovery::give_up_after(const Held& q, Time when) {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -17,6 +17,11 @@
 //
 // Entering `heard` ends all questions and the pauses' growth. Entering `paused` from `heard` begins the asking. From any
 // state move() (SIGHUP) drops the watch, the questions and the pause, and goes to `opening` at the new address.
+//
+// An agent may hold a lower version than is held here: it came back empty, or stands at another address. Then its first
+// line is the whole list, which is taken whatever its version; or it has nothing to say of what is later and sends empty
+// lines; or changes of a lower version, which are changes of another list. So in `heard` as well questions go out, the
+// first at once, until a list has come on this watch that goes on from the version held, or a whole one, on it or beside.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -116,6 +121,7 @@
   Held watch_;                           // none: paused
   std::vector<Held> questions_;          // beside it, the oldest first
   std::optional<std::uint64_t> beside_;  // the version of a list that was taken beside this watch
+  bool agreed_ = false;                  // what is held is what the agent holds, as this watch tells of it
   Timers::Handle pause_;                 // before the next watch
   Timers::Handle next_question_;         // none: the watch has been heard
   Duration backoff_{};
--- a/tests/watch_crossing_test.cpp
+++ b/tests/watch_crossing_test.cpp
@@ -253,6 +253,97 @@
   ASSERT_NE(watch(3), nullptr);
   EXPECT_EQ(asked[2], "GET /api/targets?watch=1&from=7 HTTP/1.1");
 }
+// The agent comes back with a lower version than is held, and tells of it in one of the ways that there are: what it
+// holds is taken, whatever the version, within the limits on a silent watch.
+struct VersionsThatGoBack : WatchCrossing {
+  // Version 60 is held, with the server b; the agent that is back holds c alone under a lower one.
+  void held() {
+    start();
+    watch()->send(kHead + chunk(list(60, true, member("s-0000000b")) + "\n"));
+    ASSERT_TRUE(wait_for(2));
+    ASSERT_TRUE(loop.until([&] { return questions.empty() && discovery.revision() == 60; }));
+  }
+  void expect_taken(Duration limit, int revision = 7) {
+    bool late = false;
+    timers.after(limit, [&] { late = true; });
+    ASSERT_TRUE(wait_for(3));
+    EXPECT_FALSE(late);
+    EXPECT_EQ(told[2].kind, ListKind::full);
+    ASSERT_EQ(told[2].entries.size(), 1U);
+    EXPECT_EQ(told[2].entries[0].info.id, ServerId(12));
+    EXPECT_EQ(discovery.revision(), static_cast<std::uint64_t>(revision));
+    // From here on all is as ever: changes are taken, and nothing is asked any more.
+    const auto watches_before = discovery.figures().watches, asked_before = discovery.figures().questions;
+    watches.back()->send(chunk(list(revision + 1, false, member("s-0000000d")) + "\n"));
+    ASSERT_TRUE(wait_for(4));
+    EXPECT_EQ(told[3].kind, ListKind::changes);
+    ASSERT_TRUE(pass(2 * discovery.limits().answer));
+    EXPECT_EQ(discovery.figures().watches, watches_before);
+    EXPECT_EQ(discovery.figures().questions, asked_before);
+  }
+  void on_a_watch(const std::string& first_line, Duration limit = facts::kDiscoveryTold) {
+    ASSERT_NO_FATAL_FAILURE(held());
+    on_watch = [=](Wire& w) { w.send(kHead + chunk(first_line + "\n")); };
+    on_question = [](Wire& w) { w.send(whole(7, member("s-0000000c"))); };
+    watches[0]->reset();
+    expect_taken(limit);
+  }
+};
+TEST_F(VersionsThatGoBack, WithTheWholeList) { on_a_watch(list(7, true, member("s-0000000c"))); }
+TEST_F(VersionsThatGoBack, WithAnEmptyLine) { on_a_watch(""); }
+TEST_F(VersionsThatGoBack, WithChangesOfALowerVersion) { on_a_watch(list(7, false, member("s-0000000a"))); }
+TEST_F(VersionsThatGoBack, WithNoChangesOfALowerVersion) { on_a_watch(list(0, false, "")); }
+TEST_F(VersionsThatGoBack, WithAHeadAlone) {
+  ASSERT_NO_FATAL_FAILURE(held());
+  on_watch = [](Wire& w) { w.send(kHead); };
+  on_question = [](Wire& w) { w.send(whole(7, member("s-0000000c"))); };
+  watches[0]->reset();
+  expect_taken(facts::kDiscoveryTold);
+}
+TEST_F(VersionsThatGoBack, InTheMiddleOfAWatch) {
+  ASSERT_NO_FATAL_FAILURE(held());
+  on_question = [](Wire& w) { w.send(whole(7, member("s-0000000c"))); };
+  watches[0]->send(chunk(list(5, false, member("s-0000000a")) + "\n"));
+  expect_taken(facts::kDiscoveryTold);
+}
+// Between the question and its answer the agent goes on: an answer from before a line that was passed over is not taken.
+TEST_F(VersionsThatGoBack, WhileTheWholeListIsAskedFor) {
+  ASSERT_NO_FATAL_FAILURE(held());
+  watches[0]->send(chunk(list(5, false, member("s-0000000a")) + "\n"));
+  const auto first = question();
+  watches[0]->send(chunk(list(6, false, member("s-0000000a")) + "\n"));
+  const auto second = question(2);
+  ASSERT_NE(second, nullptr);
+  ASSERT_TRUE(loop.until([&] { return first->ended; }));
+  second->send(whole(6, member("s-0000000c")));
+  expect_taken(facts::kDiscoveryTold, 6);
+}
+// The agent is silent, and refuses the question at first: it is asked again.
+TEST_F(VersionsThatGoBack, WhereTheFirstQuestionsAreLost) {
+  ASSERT_NO_FATAL_FAILURE(held());
+  on_watch = [](Wire& w) { w.send(kHead + chunk("\n")); };
+  on_question = [this](Wire& w) {
+    if (questions.size() < 3) return w.reset();
+    w.send(whole(7, member("s-0000000c")));
+  };
+  watches[0]->reset();
+  expect_taken(facts::kDiscoveryTold);
+}
+// Moved by SIGHUP to an agent that holds less: an empty line alone, or nothing at all.
+TEST_F(VersionsThatGoBack, AtAnAgentThatDiscoveryMovedTo) {
+  ASSERT_NO_FATAL_FAILURE(held());
+  Peer moved{loop.io, [this](Wire& w) {
+               const auto m = w.message();
+               if (m.starts_with("GET /api/targets?")) {
+                 watches.push_back(w.shared_from_this());
+                 w.send(kHead + chunk("\n"));
+               } else if (!m.empty()) {
+                 w.send(whole(0, member("s-0000000c")));
+               }
+             }};
+  discovery.move(moved.at(), moved.text());
+  expect_taken(facts::kToldAfterHangUp, 0);
+}
 // What a watch says late of a time before the list that came beside it would undo what is known.
 TEST_F(WatchCrossing, ChangesThatAListBesideHasOvertakenArePassedOver) {
   on_watch = [](Wire& w) { w.send(kHead); };
