Metrics: what came malformed from discovery, clients and operators, by kind

Discovery counted its connections and what became of them, but nothing showed it; malformed requests and control calls were not counted.

Answers of price servers and of the counter are not among them.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -305,11 +305,13 @@
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
+    ++clients_.refusals_[static_cast<unsigned>(x.status)];
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
   }
 }
 
 void ClientSession::reject(http::status status, const std::string& why) {
+  ++clients_.refusals_[upload_ ? 0 : static_cast<unsigned>(status)];
   // Of a request that is out already: it will not come whole.
   if (upload_) return close();
   keep_alive_ = false;
@@ -477,6 +479,7 @@
   if (stage_ == Stage::reading && began_)
     return began_ = false, reject(http::status::request_timeout, "the request did not come");
   if (stage_ == Stage::reading && !fresh_) return end_politely();
+  if (stage_ == Stage::reading) ++clients_.refusals_[0];  // it has sent nothing
   make_way();
 }
 
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -163,6 +163,7 @@
   void limit(std::size_t most_sessions) { most_sessions_ = most_sessions; }
   std::size_t size() const { return sessions_.size(); }
   std::size_t share() const { return most_sessions_; }
+  const Refusals& refusals() const { return refusals_; }
   // Gives up the session that has been silent longest of those that hold nothing that was taken.
   bool make_room();
 
@@ -185,6 +186,7 @@
   Owner& owner_;
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
   Sessions sessions_;
+  Refusals refusals_;
   bool draining_ = false;
   bool retired_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -165,6 +165,8 @@
   void answer(Response response) {
     answered_ = true;
     response_ = std::move(response);
+    if (http::to_status_class(response_.result()) == http::status_class::client_error)
+      ++control_->refusals_[response_.result_int()];
     response_.keep_alive(false);
     response_.prepare_payload();
     timers_.cancel(limit_);
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -55,6 +55,8 @@
 
   void listen(const Tcp::endpoint& at);
   Tcp::endpoint listens_at() const { return acceptor_.local_endpoint(); }
+  // Calls that were answered 4xx.
+  const Refusals& refusals() const { return refusals_; }
 
  private:
   class Call;
@@ -69,6 +71,7 @@
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
   Timers::Handle pause_;
   Calls calls_;
+  Refusals refusals_;
 };
 
 }  // namespace petrelrail
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -134,6 +134,27 @@
       lines("failed", j.failed), lines("unknown", j.unknown);
     }
   }
+  const auto& d = now.discovery;
+  single("discovery_watches", "counter", d.watches);
+  single("discovery_questions", "counter", d.questions);
+  single("discovery_lost", "counter", d.lost);
+  single("discovery_silent", "counter", d.silent);
+  single("discovery_unreadable", "counter", d.unreadable);
+  const auto labelled = [&](const char* name, const char* label, const std::string& is, std::uint64_t value) {
+    text.append("node_").append(name).append("{").append(label).append("=\"").append(is).append("\"} ");
+    text.append(std::to_string(value)).append("\n");
+  };
+  family("discovery_malformed", "counter");
+  labelled("discovery_malformed", "kind", "head", d.bad_heads);
+  labelled("discovery_malformed", "kind", "text", d.bad_texts);
+  labelled("discovery_malformed", "kind", "list", d.bad_lists);
+  labelled("discovery_malformed", "kind", "member", d.bad_members);
+  for (const auto& [name, refused] :
+       {std::pair("client_refusals", &now.clients), std::pair("control_refusals", &now.control)}) {
+    family(name, "counter");
+    for (const auto& [status, n] : *refused)
+      labelled(name, "status", status == 0 ? "closed" : std::to_string(status), n);
+  }
   single("reload_success", "counter", reload_success_);
   single("reload_failure", "counter", reload_failure_);
   return text;
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "discovery.hpp"
 #include "log.hpp"
 #include "peers.hpp"
 #include "pool.hpp"
@@ -25,6 +26,8 @@
     Time at{};
     const Peers* peers = nullptr;        // none: members are off
     const Together* together = nullptr;  // none: off
+    Discovery::Figures discovery{};
+    Refusals clients{}, control{};  // of what came malformed
   };
 
   // Kept for the life of the process, also when the class is dropped.
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -46,6 +46,9 @@
 };
 
 // All timers of the process on one operating-system timer: a time-out that is set and dropped costs no call.
+// What came malformed, by the status it was answered with; 0: closed without an answer.
+using Refusals = std::map<unsigned, std::uint64_t>;
+
 class Timers {
  public:
   using Queue = std::multimap<Time, std::function<void()>>;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -425,7 +425,8 @@
   const auto servers = gateway_.servers(timers_.now());
   return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(),
                         log::figures(), timers_.now(), peers_ && peers_->started() ? peers_.get() : nullptr,
-                        together_ && together_->shared().started() ? together_.get() : nullptr});
+                        together_ && together_->shared().started() ? together_.get() : nullptr,
+                        discovery_.figures(), clients_.refusals(), control_.refusals()});
 }
 
 std::optional<std::string> Node::members() {
--- a/tests/process_settings_test.cpp
+++ b/tests/process_settings_test.cpp
@@ -183,6 +183,9 @@
   EXPECT_EQ(status("POST /price-servers/disable?who=%zz" + rest + "\r\n"), 400);
   EXPECT_EQ(status(std::string("\0\r\n\r\n", 5)), 400);
   EXPECT_EQ(status("\x16\x03\x01 not this protocol\r\n\r\n"), 400);
+  EXPECT_EQ(figure("node_control_refusals{status=\"405\"}"), "3");
+  EXPECT_EQ(figure("node_control_refusals{status=\"404\"}"), "2");
+  EXPECT_GE(std::stoi(figure("node_control_refusals{status=\"400\"}")), 4);
   const auto gone = loop.connect(control);
   gone->send("GET /met", true);
   EXPECT_TRUE(loop.until([&] { return gone->ended; }));
@@ -195,5 +198,44 @@
   EXPECT_TRUE(served(w));
 }
 
+// Requests that are none are answered or closed, each kind is counted, and others are served.
+TEST_F(Crossing, ClientsRequestsThatAreNoneAreCountedByTheirAnswer) {
+  run();
+  ASSERT_TRUE(up());
+  const auto silent = loop.connect(listen), slow = loop.connect(listen);
+  slow->send("GET /rea");
+  const auto status = [&](const std::string& words) {
+    const auto w = loop.connect(listen);
+    w->send(words);
+    return answered(w);
+  };
+  const auto good = ProcessTest::ask();
+  const auto with = [&](const std::string& old_words, const std::string& words) {
+    auto text = good;
+    return status(text.replace(text.find(old_words), old_words.size(), words));
+  };
+  EXPECT_EQ(status("rubbish\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET /read HTTP/1.1\r\nHost: x\r\n\r\n"), 400);
+  EXPECT_EQ(with("X-Plan: p", "X-Plan: q"), 400);
+  EXPECT_EQ(with("units=1", "units=none"), 400);
+  EXPECT_EQ(with("GET /read", "GET /write"), 404);
+  EXPECT_EQ(with("GET /read", "PUT /read"), 405);
+  EXPECT_EQ(with("X-Plan", "X: " + std::string(20000, 'x') + "\r\nX-Plan"), 431);
+  EXPECT_EQ(status("POST /read HTTP/1.1\r\nHost: x\r\nContent-Length: 999999999999\r\n\r\n"), 413);
+  EXPECT_EQ(answered(slow), 408);
+  EXPECT_TRUE(loop.until([&] { return silent->ended; }));
+  for (const auto& [kind, n] : std::map<std::string, std::string>{{"400", "4"},
+                                                                  {"404", "1"},
+                                                                  {"405", "1"},
+                                                                  {"408", "1"},
+                                                                  {"413", "1"},
+                                                                  {"431", "1"},
+                                                                  {"closed", "1"}})
+    EXPECT_EQ(figure("node_client_refusals{status=\"" + kind + "\"}"), n) << kind;
+  const auto w = loop.connect(listen);
+  w->send(good);
+  EXPECT_TRUE(served(w));
+}
+
 }  // namespace
 }  // namespace petrelrail::test
