--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -305,11 +305,13 @@
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
+    ++clients_.refusals_[static_cast<unsigned>(x.status)];
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
   }
 }
 
 void ClientSession::reject(http::status status, const std::string& why) {
+  ++clients_.refusals_[upload_ ? 0 : static_cast<unsigned>(status)];
   // Of a request that is out already: it will not come whole.
   if (upload_) return close();
   keep_alive_ = false;
@@ -477,6 +479,7 @@
   if (stage_ == Stage::reading && began_)
     return began_ = false, reject(http::status::request_timeout, "the request did not come");
   if (stage_ == Stage::reading && !fresh_) return end_politely();
+  if (stage_ == Stage::reading) ++clients_.refusals_[0];  // it has sent nothing
   make_way();
 }
 
@@ -594,6 +597,10 @@
 void Clients::drain() {
   draining_ = true;
   last_accept_ = told_to_end_ = timers_.now();
+  Duration longest{};
+  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
+  last_word_ = told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm -
+               facts::kLastWord;
   if (retired_) return;  // they are told with their next answers
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all)
@@ -605,17 +612,10 @@
 void Clients::end_in_time(ClientRequest& request) const {
   const Time now = timers_.now();
   if (!draining_ || now - told_to_end_ <= facts::kNewAfterTerm) return;
-  const Time last = last_word();
-  if (request.deadline <= last) return;
-  if (last <= now) throw BadRequest(http::status::service_unavailable, "this process ends");
-  request.deadline = last;
-  request.arrival.time_left = last - now;
-}
-
-Time Clients::last_word() const {
-  Duration longest{};
-  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
-  return told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord;
+  if (request.deadline <= last_word_) return;
+  if (last_word_ <= now) throw BadRequest(http::status::service_unavailable, "this process ends");
+  request.deadline = last_word_;
+  request.arrival.time_left = last_word_ - now;
 }
 
 // Clients that have their answers and do not close don't hold the process up to SIGKILL.
@@ -623,7 +623,7 @@
   const Time now = timers_.now();
   if (!draining_ || now - last_accept_ <= facts::kNewAfterTerm) return false;
   return sessions_.empty() ||
-         (now >= last_word() && std::ranges::all_of(sessions_, [](const auto& s) { return s->lingers(); }));
+         (now >= last_word_ && std::ranges::all_of(sessions_, [](const auto& s) { return s->lingers(); }));
 }
 
 }  // namespace petrelrail
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -17,6 +17,11 @@
 //
 // Entering `heard` ends all questions and the pauses' growth. Entering `paused` from `heard` begins the asking. From any
 // state move() (SIGHUP) drops the watch, the questions and the pause, and goes to `opening` at the new address.
+//
+// An agent may hold a lower version than is held here: it came back empty, or stands at another address. Then its first
+// line is the whole list, which is taken whatever its version; or it has nothing to say of what is later and sends empty
+// lines; or changes of a lower version, which are changes of another list. So in `heard` as well questions go out, the
+// first at once, until a list has come on this watch that goes on from the version held, or a whole one, on it or beside.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -50,7 +55,9 @@
     std::uint64_t watches = 0, questions = 0;  // opened
     std::uint64_t lost = 0;                    // refused, reset, closed by the agent
     std::uint64_t silent = 0;                  // given up for what did not come in time
-    std::uint64_t unreadable = 0;              // a head or a list that says nothing
+    std::uint64_t unreadable = 0;              // ended for one of those that follow
+    // What came malformed: heads, chunks and refusals; texts that are no JSON; lists without what each has; members.
+    std::uint64_t bad_heads = 0, bad_texts = 0, bad_lists = 0, bad_members = 0;
   };
 
   // `drain_grace`: of the settings, see facts::agent_limits; where it is not given the limits are the longest.
@@ -83,6 +90,7 @@
   ZoneIndex zone_of(const std::string& name);
   std::optional<Entry> entry(const nlohmann::json& e);
   bool take(const nlohmann::json& list, bool cached);
+  void malformed(std::uint64_t& kind, std::string_view what, std::string_view why);
 
   void open_watch();
   void ask();
@@ -113,10 +121,12 @@
   Held watch_;                           // none: paused
   std::vector<Held> questions_;          // beside it, the oldest first
   std::optional<std::uint64_t> beside_;  // the version of a list that was taken beside this watch
+  bool agreed_ = false;                  // what is held is what the agent holds, as this watch tells of it
   Timers::Handle pause_;                 // before the next watch
   Timers::Handle next_question_;         // none: the watch has been heard
   Duration backoff_{};
   Figures figures_;
+  bool complains_ = true;  // of the first of a row of malformed lists
 };
 
 }  // namespace petrelrail
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -132,6 +132,12 @@
     return ::sendmsg(socket_.native_handle(), &m, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
   }
 
+  // Small enough for any socket's buffer.
+  void dismiss() {
+    static constexpr std::string_view words = "{\"replaced\":true}\n";
+    ::send(socket_.native_handle(), words.data(), words.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    abandon();
+  }
   void end() {
     if (const auto handover = std::exchange(handover_, nullptr)) {
       close();
@@ -205,8 +211,9 @@
 
 Handover::~Handover() {
   timers_.cancel(limit_);
+  // First of all: once the link has ended the other process offers itself, on the same path.
+  if (acceptor_.is_open() && owns_path()) ::unlink(path_.c_str());
   if (link_) link_->abandon();
-  if (acceptor_.is_open()) ::unlink(path_.c_str());
 }
 
 bool Handover::seek() {
@@ -246,18 +253,27 @@
   if (!failed) acceptor_.bind(Local::endpoint(path_), failed);
   if (!failed) ::chmod(path_.c_str(), S_IRUSR | S_IWUSR);
   if (!failed) acceptor_.listen(1, failed);
+  struct stat made {};
+  if (!failed && ::stat(path_.c_str(), &made) == 0) bound_ = {made.st_dev, made.st_ino};
   if (!failed) return accept();
   log::warning("handover", "no successor can come", {{"why", failed.message()}});
   error_code ignored;
   acceptor_.close(ignored);
 }
 
+// A process that served beside this one, since this one was silent, may have taken the path for itself.
+bool Handover::owns_path() const {
+  struct stat there {};
+  return ::lstat(path_.c_str(), &there) == 0 &&
+         std::pair<std::uint64_t, std::uint64_t>(there.st_dev, there.st_ino) == bound_;
+}
+
 void Handover::accept() {
   acceptor_.async_accept([this](const error_code& failed, LocalSocket socket) {
     if (failed == asio::error::operation_aborted) return;
     if (!failed) {
-      // The latest one counts: an earlier one that took nothing has no claim.
-      if (link_) std::exchange(link_, nullptr)->abandon();
+      // The latest one counts: an earlier one that took nothing has no claim, and is told so.
+      if (link_) std::exchange(link_, nullptr)->dismiss();
       link_ = std::make_shared<Link>(*this, std::move(socket));
       link_->read();
     }
@@ -287,6 +303,9 @@
     } else if (message.contains("listener") && passed) {
       timers_.cancel(limit_);
       owner_.listener_came(std::move(passed));
+    } else if (message.contains("replaced") && !acceptor_.is_open()) {
+      timers_.cancel(limit_);
+      owner_.replaced();
     } else if (message.contains("state") && !acceptor_.is_open()) {
       timers_.cancel(limit_);
       owner_.state_came(message.at("state"));
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -42,6 +42,7 @@
     // To the one that follows:
     virtual void listener_came(Descriptor socket) = 0;
     virtual void state_came(const nlohmann::json& state) = 0;
+    virtual void replaced() = 0;  // another process follows instead
     // To both:
     virtual void told_by_peer(const nlohmann::json& message) = 0;
     virtual void peer_lost() = 0;
@@ -71,12 +72,14 @@
 
   void accept();
   void withdraw();
+  bool owns_path() const;
   void came(const nlohmann::json& message, Descriptor passed);
   void lost(const Link* link);
 
   asio::io_context& io_;
   Timers& timers_;
-  std::string path_;  // empty: nothing is handed over
+  std::string path_;                                 // empty: nothing is handed over
+  std::pair<std::uint64_t, std::uint64_t> bound_{};  // device and number of the file that was made there
   Owner& owner_;
   asio::basic_socket_acceptor<Local, Executor> acceptor_;
   std::shared_ptr<Link> link_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,7 +53,8 @@
       [this](const CountAnswer& a) { happened(a); }, [this] { happened(CounterHeard{}); }, config_.seed);
 }
 
-void Node::start() {
+void Node::start(std::function<void()> replaced) {
+  replaced_ = std::move(replaced);
   discovery_.start(config_.known);
   if (config_.control) control_.listen(*config_.control);
   if (!handover_.seek()) serve();
@@ -103,8 +104,9 @@
   ask_when_ready();
 }
 
+// One that was told to end takes nothing over: what the predecessor holds would end with it.
 void Node::ask_when_ready() {
-  if (serves_) return;
+  if (serves_ || drained_) return;
   if (ready()) return handover_.ask_state();
   timers_.after(facts::kAcceptPause, [this] { ask_when_ready(); });
 }
@@ -147,6 +149,13 @@
   serve();
 }
 
+// Two that serve would be two nodes of one name.
+void Node::replaced() {
+  if (serves_ || !replaced_) return;
+  log::warning("handover", "another process follows: this one ends");
+  replaced_();
+}
+
 // Two processes of a node count as one until the other has gone.
 void Node::limit_descriptors(std::size_t taken_by_clients, std::size_t taken_by_servers) {
   const auto less = [](std::size_t all, std::size_t taken) {
@@ -253,11 +262,7 @@
     drains_until_ = timers_.now() + facts::kGivingOn;
   }
   if (peers_ && !succeeded_) peers_->leave();
-  Duration longest{};
-  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
-  for (const auto& l : leaving_) longest = std::max(longest, l.cls.deadline);
-  timers_.after(std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm - facts::kLastWord,
-                [this] { give_up(); });
+  timers_.at(clients_.last_word(), [this] { give_up(); });
   wait_until_drained();
 }
 
@@ -420,7 +425,8 @@
   const auto servers = gateway_.servers(timers_.now());
   return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(),
                         log::figures(), timers_.now(), peers_ && peers_->started() ? peers_.get() : nullptr,
-                        together_ && together_->shared().started() ? together_.get() : nullptr});
+                        together_ && together_->shared().started() ? together_.get() : nullptr,
+                        discovery_.figures(), clients_.refusals(), control_.refusals()});
 }
 
 std::optional<std::string> Node::members() {
