Descriptors: the node's own part stays whole while a quarter of the limit is left beside it

At fault: for_peers, which kept half of any limit below 96 for the node's own, 34 of 68, and gave clients and servers 34 where 20 are left once the 48 that the node can need are kept. Change: the node's own part is kept whole; clients and servers have a quarter of the limit at least, so that of 40 they get 10. Measured: without the change both CrowdTest tests fail; with it they pass 5 times of 5 in a row, and ProcessTest.SurvivesALackOfDescriptors (limit 40), both Full.IdleClients tests and Full.ALimitBelowTheOneToldLeavesClientsServed 2 times of 2.

--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -124,6 +124,7 @@
     kOwnDescriptors = 24 + kControlCallers + 2 +
                       (kAgentQuestions -
                        1);  // standard streams, epoll, timer, signals, listeners; control; discovery
+inline constexpr double kPeersLeast = 0.25;   // of the limit, for clients and servers, however small it is
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 inline constexpr double kServersKeep = 0.5;   // of the servers' share, which clients are not lent
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,10 +7,13 @@
 namespace petrelrail {
 namespace {
 
-// What is kept for the node's own is the most it can need: of a small limit half, as it seldom needs that.
+// What is kept for the node's own is the most it can need, and is kept whole while a part of the limit is left beside
+// it: of a smaller limit the node does with less, as it seldom needs that.
 std::size_t for_peers(const NodeConfig& c) {
   const auto own = facts::kOwnDescriptors + facts::kCounterLinks + (c.peers ? 1 : 0);
-  return std::max<std::size_t>(1, c.descriptors - std::min(own, c.descriptors / 2));
+  const auto least = std::max<std::size_t>(
+      1, static_cast<std::size_t>(facts::kPeersLeast * static_cast<double>(c.descriptors)));
+  return std::max(c.descriptors - std::min(own, c.descriptors), least);
 }
 std::size_t for_clients(const NodeConfig& c) {
   return std::max<std::size_t>(
