Clients: accepts that fail are counted, and a test holds them to their pause

Need: that accept does not spin at the limit of descriptors was bounded by the lines of the log alone, which accept never writes. The test shuts the listening socket down, so that each accept fails while descriptors are free, also for the sanitizers' own checks. There can be no more failures than pauses fit in the time that has passed, however slow the machine is, and each must have let one idle session go. Not run under the sanitizers.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -559,6 +559,7 @@
 void Clients::accepted(const error_code& failed, Socket socket) {
   if (failed) {
     // No descriptor, say: one that idles is given up, and the next try comes after a moment.
+    ++accept_failures_;
     make_room();
     timers_.after(facts::kAcceptPause, [this] { accept(); });
     return;
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -161,6 +161,7 @@
   void limit(std::size_t most_sessions) { most_sessions_ = most_sessions; }
   std::size_t size() const { return sessions_.size(); }
   std::size_t share() const { return most_sessions_; }
+  std::uint64_t accept_failures() const { return accept_failures_; }
   // Gives up the session that has been silent longest of those that hold nothing that was taken.
   bool make_room();
 
@@ -188,6 +189,7 @@
   bool draining_ = false;
   bool retired_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
+  std::uint64_t accept_failures_ = 0;
   Time last_accept_{};
   Time told_to_end_{};  // when it began to drain
 };
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -46,6 +46,7 @@
   single("targets", "gauge", now.targets);
   single("targets_disabled", "gauge", now.targets_disabled);
   single("sessions", "gauge", now.sessions);
+  single("accept_failures", "counter", now.accept_failures);
   single("pool_open", "gauge", now.pool.open);
   single("pool_idle", "gauge", now.pool.idle);
   single("pool_connecting", "gauge", now.pool.connecting);
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -20,6 +20,7 @@
   };
   struct Gauges {  // what is so at the moment of the call
     std::size_t concurrent = 0, targets = 0, targets_disabled = 0, sessions = 0;
+    std::uint64_t accept_failures = 0;
     PoolFigures pool{};
     log::Figures log{};
     Time at{};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -421,8 +421,9 @@
 
 std::string Node::figures() {
   const auto servers = gateway_.servers(timers_.now());
-  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(), upstream_.figures(),
-                        log::figures(), timers_.now(), peers_ && peers_->started() ? peers_.get() : nullptr,
+  return metrics_.text({concurrent_, servers.listed, servers.avoided, clients_.size(),
+                        clients_.accept_failures(), upstream_.figures(), log::figures(), timers_.now(),
+                        peers_ && peers_->started() ? peers_.get() : nullptr,
                         together_ && together_->shared().started() ? together_.get() : nullptr});
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -545,5 +545,49 @@
   EXPECT_LE(held(), 20u);
 }
 
+// ---- Accepting that fails ---------------------------------------------------------------------------------
+
+struct FailingAccept : NodeTest {
+  // Every accept of the node fails from now on: its listening socket is shut down.
+  void shut() {
+    for (int fd = 0; fd < 1024; ++fd) {
+      int listens = 0;
+      socklen_t size = sizeof listens;
+      if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) continue;
+      sockaddr_in at{};
+      size = sizeof at;
+      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+      if (ntohs(at.sin_port) == node->listens_at().port()) return void(::shutdown(fd, SHUT_RD));
+    }
+    FAIL() << "the node does not listen";
+  }
+  static long value(const std::string& figures, const std::string& name) {
+    const auto line = "\nnode_" + name + " ";
+    return std::stol(figures.substr(figures.find(line) + line.size()));
+  }
+};
+// A pause lies before each further try, and one client that holds nothing is let go at each.
+TEST_F(FailingAccept, IsTriedAgainAfterAPauseAndLetsOneIdleClientGoEachTime) {
+  start();
+  std::vector<std::shared_ptr<Wire>> idle;
+  while (idle.size() < 40) {
+    idle.push_back(client());
+    idle.back()->send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_EQ(status(idle.back()), 200);
+  }
+  ASSERT_TRUE(figure("node_sessions 41"));
+  ASSERT_TRUE(figure("node_accept_failures 0"));
+  const auto began = std::chrono::steady_clock::now();
+  ASSERT_NO_FATAL_FAILURE(shut());
+  std::string figures;
+  ASSERT_TRUE(loop.until([&] {
+    figures = call("GET", "/metrics");
+    return value(figures, "accept_failures") >= 5;
+  }));
+  const auto passed = std::chrono::steady_clock::now() - began;
+  EXPECT_LE(value(figures, "accept_failures"), passed / facts::kAcceptPause + 1);
+  EXPECT_LE(value(figures, "sessions"), std::max(0L, 41 - value(figures, "accept_failures")));
+}
+
 }  // namespace
 }  // namespace petrelrail::test
