--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -164,6 +164,7 @@
   std::size_t size() const { return sessions_.size(); }
   std::size_t share() const { return most_sessions_; }
   const Refusals& refusals() const { return refusals_; }
+  std::uint64_t accept_failures() const { return accept_failures_; }
   // Gives up the session that has been silent longest of those that hold nothing that was taken.
   bool make_room();
 
@@ -173,6 +174,7 @@
 
   void begin();
   void accept();
+  void accepted(const error_code& failed, Socket socket);
   void end_in_time(ClientRequest& request) const;
   std::shared_ptr<ClientSession> longest_silent() const;
   void sweep();
@@ -190,6 +192,7 @@
   bool draining_ = false;
   bool retired_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
+  std::uint64_t accept_failures_ = 0;
   Time last_accept_{};
   Time told_to_end_{}, last_word_ = Time::max();  // when it began to drain, and has to have ended
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -488,6 +488,14 @@
     while (all.size() < n) all.push_back(client());
     return all;
   }
+  // Descriptors of clients and servers.
+  std::size_t held() {
+    const auto text = call("GET", "/metrics");
+    std::size_t n = 0;
+    for (const std::string name : {"\nnode_sessions ", "\nnode_pool_open "})
+      n += std::stoul(text.substr(text.find(name) + name.size()));
+    return n;
+  }
   static auto ended(const std::vector<std::shared_ptr<Wire>>& all) {
     return std::ranges::count_if(all, [](const auto& w) { return w->ended; });
   }
@@ -519,6 +527,67 @@
   EXPECT_TRUE(figure("node_pool_open 8"));
   EXPECT_TRUE(figure("node_sessions 12"));
 }
+// Nor does a crowd that asks at once get more, though whoever has asked can't be let go for the next.
+TEST_F(CrowdTest, ThatAsksAtOnceIsLentNoMore) {
+  const auto crowd = sessions(40);
+  for (std::size_t i = 0; i < crowd.size(); ++i) {
+    Ask a;
+    a.cookie.replace(a.cookie.size() - 4, 4, std::to_string(1000 + i));
+    crowd[i]->send(a.text());
+  }
+  ASSERT_TRUE(loop.until([&] { return !seen.empty(); }));
+  for (int i = 0; i < 20; ++i) EXPECT_LE(held(), 20u);
+  respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", "served")); };
+  for (const auto* s : {&server, &second})
+    for (const auto& w : s->wires) w->send(http_answer("200 OK", "served"));
+  ASSERT_TRUE(loop.until(
+      [&] { return std::ranges::all_of(crowd, [](const auto& w) { return w->ended || !w->in.empty(); }); }));
+  EXPECT_LE(held(), 20u);
+}
+
+// ---- Accepting that fails ---------------------------------------------------------------------------------
+
+struct FailingAccept : NodeTest {
+  // Every accept of the node fails from now on: its listening socket is shut down.
+  void shut() {
+    for (int fd = 0; fd < 1024; ++fd) {
+      int listens = 0;
+      socklen_t size = sizeof listens;
+      if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) continue;
+      sockaddr_in at{};
+      size = sizeof at;
+      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+      if (ntohs(at.sin_port) == node->listens_at().port()) return void(::shutdown(fd, SHUT_RD));
+    }
+    FAIL() << "the node does not listen";
+  }
+  static long value(const std::string& figures, const std::string& name) {
+    const auto line = "\nnode_" + name + " ";
+    return std::stol(figures.substr(figures.find(line) + line.size()));
+  }
+};
+// A pause lies before each further try, and one client that holds nothing is let go at each.
+TEST_F(FailingAccept, IsTriedAgainAfterAPauseAndLetsOneIdleClientGoEachTime) {
+  start();
+  std::vector<std::shared_ptr<Wire>> idle;
+  while (idle.size() < 40) {
+    idle.push_back(client());
+    idle.back()->send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_EQ(status(idle.back()), 200);
+  }
+  ASSERT_TRUE(figure("node_sessions 41"));
+  ASSERT_TRUE(figure("node_accept_failures 0"));
+  const auto began = std::chrono::steady_clock::now();
+  ASSERT_NO_FATAL_FAILURE(shut());
+  std::string figures;
+  ASSERT_TRUE(loop.until([&] {
+    figures = call("GET", "/metrics");
+    return value(figures, "accept_failures") >= 5;
+  }));
+  const auto passed = std::chrono::steady_clock::now() - began;
+  EXPECT_LE(value(figures, "accept_failures"), passed / facts::kAcceptPause + 1);
+  EXPECT_LE(value(figures, "sessions"), std::max(0L, 41 - value(figures, "accept_failures")));
+}
 
 }  // namespace
 }  // namespace petrelrail::test
