Pace of calls: answers that stay slow at the floor of the rate are the counter's own time

Cause: half of all tries were refused for want of calls (counted per minute and cause by a trial build: 9,500 of 18,200 a minute "short of calls", the same in all 45 minutes). At fault: CounterPace::learn, which held the whole time of an answer against the time-out unless the quickest took longer than it. Ruled out by the same count: places that leak (no refusal for the open cap), the bound on attempts (8 to 10, 2 in flight), servers. Change: at the floor the fleet together leaves the counter three quarters of its time. 32 answers in a row that are slow there are no line: from then on only what an answer takes beyond the quickest shows one. Turned down: the same from the first answer on. Test: CounterPace.AnswersThatStaySlowAtTheFloorAreTheCountersOwn, seen to fail without the change.

--- a/src/policy/counter_pace.hpp
+++ b/src/policy/counter_pace.hpp
@@ -15,6 +15,8 @@
 constexpr double kCallCut = 0.3;     // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
 constexpr double kCallsSaved = 3;    // calls that can be saved up at least
+constexpr int
+    kFloorProof = 32;  // slow answers in a row at that floor: the fleet leaves room, so it is no line
 constexpr Duration kCallSpan = 100ms;  // and the span over which more are
 constexpr int kCounterStrikes = 3;     // failed calls in a row before the counter is held to be down
 constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
@@ -32,6 +34,7 @@
   Time saved_at{}, cut_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
+  int slow_at_floor = 0;  // answers in a row, up to kFloorProof: from then on the counter is slow by nature
 
   CounterPace(Duration limit, double gateways)
       : timeout(std::max(limit, Duration(1))), fleet(gateways), fastest(seconds(timeout) * kFirstCall) {
@@ -77,9 +80,13 @@
     if (ok) heard();
     strikes = ok ? 0 : strikes + 1;
     if (strikes == kCounterStrikes) down_since = now;
-    // Where even the quickest take longer than the time-out, only what one took beyond that shows a line.
-    const double bare = fastest > seconds(timeout) ? fastest : 0;
-    const double part = ok ? std::max(0.0, seconds(took) - bare) / seconds(timeout) : 1.0;
+    // Where a call takes long by itself, only what one took beyond the quickest shows a line.
+    const bool slow = fastest > seconds(timeout) || slow_at_floor == kFloorProof;
+    const double part = ok ? std::max(0.0, seconds(took) - (slow ? fastest : 0)) / seconds(timeout) : 1.0;
+    if (ok && !slow) {
+      slow_at_floor = part < kSlowCall || rate > kCallLeast * fair() ? 0 : slow_at_floor + 1;
+      if (slow_at_floor == kFloorProof) line_at = std::numeric_limits<double>::infinity();
+    }
     if (part < kSlowCall) {
       const double start = rate < line_at ? kSlowStart / seconds(timeout) : 0;
       if (!spare()) rate += std::max(start, kCallRise * fair());
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -132,6 +132,30 @@
   EXPECT_LT(p.rate, before);
 }
 
+// One that needs less than its time-out, but long enough for a line: that it is none shows at the floor of the rate, where
+// the fleet together leaves the counter three quarters of its time. A line shows again by what it adds.
+TEST(CounterPace, AnswersThatStaySlowAtTheFloorAreTheCountersOwn) {
+  for (const Duration alone : {10ms, 15ms, 29ms}) {
+    CounterPace p(30ms, 4);
+    auto now = Time(1h);
+    const auto answered = [&](int n, Duration took) {  // while calls are held back
+      for (; n > 0; --n) p.saved = 0, p.learn(now += 100ms, CountOutcome::ok, took);
+    };
+    for (int i = 0; i < 1000 && p.rate > kCallLeast * p.fair(); ++i) answered(1, alone);
+    ASSERT_DOUBLE_EQ(p.rate, kCallLeast * p.fair());
+    answered(kFloorProof / 2, alone), answered(1, 1ms);  // one that is quick: it may be a line
+    const double least = kCallLeast * p.fair();
+    while (p.rate > least) answered(1, alone);
+    answered(kFloorProof - 1, alone);
+    EXPECT_DOUBLE_EQ(p.rate, least);
+    answered(100, alone);
+    EXPECT_GT(p.rate, p.fair());
+    const double before = p.rate;
+    answered(1, alone + 29ms);
+    EXPECT_LT(p.rate, before);
+  }
+}
+
 // ---- Lease book
 
 struct LeaseBookTest : testing::Test {
