Repeats: a key's memory bounds the first byte of a repeat, and what its client is told

A repeat was chosen within the class's memory span, but its connection may come up late, up to the connect time-out after the choice, and it was written then all the same: a second effect. And 429 ("trying again is harmless") was told of a keyed request that may have run, also where the advised moment lies past the span. At fault: Request::may_send_again alone knew the span; Upstream::may_start, which looks at all else before the first byte, did not; Request::harmless passed it over. Change: Send says by when the first byte has to come (Request::repeat_by), the node's and the model's carriers hold to it, and a refusal counts as harmless only if the advised moment lies within the span. Spans too long for a clock are cut when they are read. Ruled out: deadline, drains, client gone (looked at before the write already); classes safe to repeat are not bounded. Tests: ServerCrossing.ARepeatWhoseConnectComesUpAfterItsSpanIsNotWritten, ServersTest.AKeyedRequestIsRepeatedWithinItsSpanAlone, both seen to fail without the change.

--- a/include/petrelrail/gateway.hpp
+++ b/include/petrelrail/gateway.hpp
@@ -275,6 +275,7 @@
   RequestId request{};
   ServerId server{};
   Duration timeout{};
+  Time begin_by = Time::max();  // its first byte comes before this or not at all, on the clock of events
 };
 struct Refuse {  // final answer: turned away, trying again does no harm
   RequestId request{};
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -21,8 +21,9 @@
   ServerId server{};
   Time began{}, deadline{};
   std::shared_ptr<const ClientRequest> message;
-  Time answered{};     // when a long answer began to pass on
-  Duration connect{};  // what its connection took to come up; 0: it idled
+  Time answered{};              // when a long answer began to pass on
+  Duration connect{};           // what its connection took to come up; 0: it idled
+  Time begin_by = Time::max();  // of the module's Send
 };
 
 class Upstream;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -498,7 +498,7 @@
   auto& o = it->second;
   const Time now = timers_.now();
   ++o.out;
-  upstream_.send({s.request, o.attempts++, s.server, now, now + s.timeout, o.message});
+  upstream_.send({s.request, o.attempts++, s.server, now, now + s.timeout, o.message, {}, {}, s.begin_by});
 }
 
 void Node::carry_out(const Refuse& s) {
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -87,7 +87,8 @@
 
 bool Upstream::may_start(const Errand& e) {
   const auto it = targets_.find(e.server);
-  if (it == targets_.end() || !takes_work(it->second) || timers_.now() >= e.deadline) return false;
+  if (it == targets_.end() || !takes_work(it->second)) return false;
+  if (timers_.now() >= std::min(e.deadline, e.begin_by)) return false;
   return !e.message || owner_.still_wanted(e.request);
 }
 
--- a/src/policy/attempts.hpp
+++ b/src/policy/attempts.hpp
@@ -64,17 +64,21 @@
     return arrived + scaled(std::min(aim, deadline - arrived), kParkShare);
   }
 
-  bool may_send_again(Time now) const {
+  // By when another attempt has to start to have no second effect, at the servers that know of the first.
+  Time repeat_by() const {
     const auto& c = its_class();
-    if (attempts.size() >= rules->max_attempts || now >= deadline || too_late(now) || spent) return false;
-    return !may_have_run || c.effect == Effect::safe ||
-           (c.effect == Effect::keyed && now < first_run + c.memory_span);
+    if (!may_have_run || c.effect == Effect::safe) return Time::max();
+    return c.effect == Effect::keyed ? first_run + c.memory_span : Time::min();
+  }
+  bool may_send_again(Time now) const {
+    const bool in_time = now < std::min(deadline, repeat_by()) && !too_late(now);
+    return in_time && !spent && attempts.size() < rules->max_attempts;
   }
 
-  // Whether its client does no harm when it tries again.
-  bool harmless() const {
+  // Whether its client does no harm when it tries again then, through whatever gateway and server.
+  bool harmless(Time then) const {
     const auto& c = its_class();
-    return !may_have_run || c.effect == Effect::safe || (c.effect == Effect::keyed && c.group == Group::all);
+    return then < repeat_by() && (!may_have_run || c.effect == Effect::safe || c.group == Group::all);
   }
 
   // Whether an attempt may go there: repeats of a keyed one stay where they are known.
--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -179,7 +179,7 @@
     r.attempts.push_back(Attempt{server, turn_.now, r.expected(), true});
     // No time-out before the client's, and no second copy: on pressed servers both were work done twice.
     timers_.set(r.id, r.alarm, Time::max());
-    turn_.out.push_back(Send{r.id, server, std::max(r.deadline - turn_.now, Duration(1))});
+    turn_.out.push_back(Send{r.id, server, std::max(r.deadline - turn_.now, Duration(1)), r.repeat_by()});
   }
 
   void on(const AttemptEnded& e) {
@@ -203,7 +203,8 @@
     ServerId server{};
     if (retry_tokens_ >= 1 && r.may_send_again(turn_.now) && choice_.choose(r, server) == Pick::server)
       return send(r, server);
-    if (r.harmless()) return refuse(r, back_off());
+    const auto advice = back_off();
+    if (r.harmless(turn_.now + advice)) return refuse(r, advice);
     turn_.out.push_back(Fail{r.id});
     end(r);
   }
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -180,7 +180,8 @@
   c.deadline = wait_nanos(g, "hard-limit-ns");
   c.effect = named(g, "idempotency", effects);
   c.group = named(g, "group", groups);
-  c.memory_span = nanos_0_or_more(g, "memory-span-ns");
+  // The longest are as good as for ever, and what they end at is still a time.
+  c.memory_span = std::min(nanos_0_or_more(g, "memory-span-ns"), Duration::max() / 4);
   c.streamed = truth(g, "streamed");
   return c;
 }
--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -174,7 +174,7 @@
  private:
   struct Attempt {
     std::uint32_t server = 0;
-    Time began{};
+    Time began{}, begin_by{};
     AttemptNumber number = AttemptNumber::none;
     Duration connect{};
     bool linked = false;     // holds a connection, or one that comes up
@@ -260,7 +260,8 @@
     if (it == open_.end()) return;
     const auto server = static_cast<std::uint32_t>(s.server);
     const auto n = static_cast<std::uint32_t>(it->second.attempts.size());
-    it->second.attempts.push_back({.server = server, .began = model_.agenda_.now(), .linked = true});
+    it->second.attempts.push_back(
+        {.server = server, .began = model_.agenda_.now(), .begin_by = s.begin_by, .linked = true});
     auto& a = it->second.attempts.back();
     later(s.timeout, [request = s.request, n](Process& p) { p.overdue(request, n); });
     auto& pool = pools_[server];
@@ -296,6 +297,7 @@
   void deliver(RequestId request, std::uint32_t n) {
     auto* a = attempt(request, n);
     if (a == nullptr) return;
+    if (model_.agenda_.now() >= a->begin_by) return over(request, n, Outcome::never_sent, true);
     a->delivered = true;
     const auto way = model_.world_->way(node_, a->server);
     const Time first_byte = model_.agenda_.now();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -120,7 +120,7 @@
     EXPECT_NEAR(p.rate, again + std::max(1.0, 0.2 * p.fair()), 1e-9) << fleet;
   }
 }
-// A counter that needs most of its time-out, or more, for each call alone: its answers show no line there.
+// A counter that needs much of its time-out, or more, for each call alone: its answers show no line there.
 TEST(CounterPace, ASlowCounterIsNotTakenForACrowdedOne) {
   CounterPace p(30ms, 6);
   auto now = Time(1h);
@@ -131,7 +131,6 @@
   p.learn(now += 100ms, CountOutcome::ok, 34ms + 30ms);  // a line of a time-out beyond its own time
   EXPECT_LT(p.rate, before);
 }
-
 // One that needs less than its time-out, but long enough for a line: that it is none shows at the floor of the rate, where
 // the fleet together leaves the counter three quarters of its time. A line shows again by what it adds.
 TEST(CounterPace, AnswersThatStaySlowAtTheFloorAreTheCountersOwn) {
@@ -380,15 +379,31 @@
     EXPECT_FALSE(r->may_have_run);
     r->ended({ServerId(2), turn.now}, Outcome::reset, {.id = ServerId(2), .cell = 1});
   }
-  EXPECT_TRUE(safe.may_send_again(turn.now) && safe.harmless());
+  EXPECT_TRUE(safe.may_send_again(turn.now) && safe.harmless(turn.now));
   EXPECT_TRUE(keyed.may_send_again(turn.now));
-  EXPECT_FALSE(keyed.harmless());
+  EXPECT_FALSE(keyed.harmless(turn.now));
   EXPECT_TRUE(keyed.may_go_to({.id = ServerId(3), .cell = 1}));
   EXPECT_FALSE(keyed.may_go_to({.id = ServerId(4), .cell = 2}));
-  EXPECT_FALSE(unsafe.may_send_again(turn.now) || unsafe.harmless());
+  EXPECT_FALSE(unsafe.may_send_again(turn.now) || unsafe.harmless(turn.now));
   EXPECT_FALSE(safe.may_send_again(turn.now + 800ms));  // its aim has passed
 }
 
+// The span counts from the first attempt that may have run: for further ones, until their first byte, and for the client
+// that is told that it may try again.
+TEST_F(ServersTest, AKeyedRequestIsRepeatedWithinItsSpanAlone) {
+  turn.set.classes[1].group = Group::all, turn.set.classes[1].memory_span = 300ms;
+  rules = std::make_shared<const Rules>(turn.set, rules.get());
+  auto keyed = request(1);
+  const Time first = turn.now;
+  EXPECT_EQ(keyed.repeat_by(), Time::max());
+  keyed.ended({ServerId(2), first}, Outcome::reset, {.id = ServerId(2)});
+  turn.now += 100ms;
+  keyed.ended({ServerId(3), turn.now}, Outcome::reset, {.id = ServerId(3)});
+  EXPECT_EQ(keyed.repeat_by(), first + 300ms);
+  EXPECT_TRUE(keyed.may_send_again(first + 300ms - 1ns) && keyed.harmless(first + 300ms - 1ns));
+  EXPECT_FALSE(keyed.may_send_again(first + 300ms) || keyed.harmless(first + 300ms));
+}
+
 // ---- Timers
 
 TEST(Timers, OneTimerIsSetForWhatComesFirst) {
--- a/tests/server_crossing_test.cpp
+++ b/tests/server_crossing_test.cpp
@@ -292,6 +292,28 @@
   expect_end(2, Outcome::ok);
   EXPECT_EQ(ends[2].answer.body, "x");
 }
+// A repeat is worth its key's memory until its first byte: the connect is up, and the loop tells of it too late.
+TEST_F(ServerCrossing, ARepeatWhoseConnectComesUpAfterItsSpanIsNotWritten) {
+  Peer server(loop.io, answer);
+  upstream->update(kOne, server.at(), true);
+  const auto repeat = [&](Duration left) {
+    auto m = std::make_shared<ClientRequest>();
+    m->method = http::verb::post, m->target = "/write", m->id = "r", m->key = "k", m->body = "b";
+    const auto now = timers.now();
+    upstream->send({RequestId(++sent), 1, kOne, now, now + 10s, m, {}, {}, now + left});
+    while (left < 1s && timers.now() < now + left) {}
+  };
+  repeat(10ms);
+  expect_end(0, Outcome::never_sent);
+  EXPECT_EQ(written, 0u);
+  ASSERT_EQ(figures().idle, 1u);  // it is kept, and not begun too late on it either
+  repeat(0ms);
+  expect_end(1, Outcome::never_sent);
+  repeat(5s);
+  expect_end(2, Outcome::ok);
+  EXPECT_EQ(server.wires.size(), 1u);
+  EXPECT_EQ(written, 1u);
+}
 TEST_F(ServerCrossing, AnAnswerToAGivenUpAttemptInTheInstantOfTheNextIsForNobody) {
   Peer server(loop.io);
   upstream->update(kOne, server.at(), true);
