Reload: a class whose effect changes is taken in the form of before while clients turn to the new one

A class that a new configuration drops is served on for as long as clients may use it; one that stays under another effect was not: its requests came in the old form (GET, POST, POST with a key) and were answered 405 or 400, which counts as failed. At fault: Node::tune, which forgot what leaves as soon as its name was there again, and read_request, which took the first class of a name. Ruled out: requests that are out at the reload, which keep their rules (tests of before). Test: AttemptCrossing.AReloadThatChangesAnEffectTakesTheFormsOfNowAndOfBefore, seen to fail without the change.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -111,6 +111,12 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
+// Whether a request of the class comes in this form: its method, and whether it has a key.
+bool takes_form(const RequestClass& c, http::verb method, bool keyed) {
+  return method == (c.effect == Effect::safe ? http::verb::get : http::verb::post) &&
+         keyed == (c.effect == Effect::keyed);
+}
+
 ClientRequest read_request(Fields& f, std::shared_ptr<const Settings> settings, Time now) {
   ClientRequest r;
   const auto& s = *settings;
@@ -120,8 +126,14 @@
   if (std::ranges::find(s.classes, path_class, &RequestClass::name) == s.classes.end())
     throw BadRequest(http::status::not_found, "no such path");
   auto& a = r.arrival;
-  const auto cls = index_of(s.classes, header(f, "X-Priority-Class"), "the class");
+  auto cls = index_of(s.classes, header(f, "X-Priority-Class"), "the class");
   if (s.classes[cls].name != path_class) bad("the path and X-Priority-Class differ");
+  // After a reload a class may stand there twice, with its effect of now and of before: the form tells which is meant.
+  const bool keyed = f.count("Idempotency-Key") > 0;
+  const auto meant = std::ranges::find_if(s.classes, [&](const RequestClass& c) {
+    return c.name == path_class && takes_form(c, f.method(), keyed);
+  });
+  if (meant != s.classes.end()) cls = static_cast<std::uint32_t>(meant - s.classes.begin());
   a.request_class = ClassIndex(cls);
   a.plan = PlanIndex(index_of(s.plans, header(f, "X-Plan"), "the plan"));
   a.customer = customer(f);
@@ -138,7 +150,6 @@
   r.id = header(f, "X-Request-ID");
   if (r.id.size() > facts::kMostId) bad("X-Request-ID is too long");
   const auto effect = s.classes[cls].effect;
-  const bool keyed = f.count("Idempotency-Key") > 0;
   if (f.method() != (effect == Effect::safe ? http::verb::get : http::verb::post))
     throw BadRequest(http::status::method_not_allowed, "the method does not go with the class");
   if (keyed != (effect == Effect::keyed)) bad("Idempotency-Key does not go with the class");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -215,7 +215,7 @@
 void Node::reconfigure(const NodeConfig& config) {
   validate_change(config_.named.settings, config.named.settings);
   for (const auto& c : config_.named.settings.classes) {
-    std::erase_if(leaving_, [&](const auto& l) { return l.cls.name == c.name; });
+    std::erase_if(leaving_, [&](const auto& l) { return l.cls.name == c.name && l.cls.effect == c.effect; });
     leaving_.push_back({c, timers_.now() + facts::kClassesTurn + c.deadline});
   }
   config_.named.settings = config.named.settings;
@@ -232,14 +232,17 @@
   timers_.after(config_.named.settings.counter_timeout, [this] { left_.pop_front(); });
 }
 
-// The settings of the file, and the dropped classes that clients may still use: requests of these come until
-// clients have turned to the new ones, and their further tries for a class's deadline after that.
+// The settings of the file, and what was dropped that clients may still use, a class or the effect of one that stays:
+// requests of these come until clients have turned to the new ones, and their further tries for a class's deadline
+// after that.
 void Node::tune() {
   auto settings = std::make_shared<Settings>(config_.named.settings);
   auto& classes = settings->classes;
   const Time now = timers_.now();
   std::erase_if(leaving_, [&](const auto& l) {
-    return l.until <= now || std::ranges::find(classes, l.cls.name, &RequestClass::name) != classes.end();
+    return l.until <= now || std::ranges::any_of(classes, [&](const RequestClass& c) {
+             return c.name == l.cls.name && c.effect == l.cls.effect;
+           });
   });
   Time next = Time::max();
   for (const auto& l : leaving_) classes.push_back(l.cls), next = std::min(next, l.until);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -134,7 +134,7 @@
 
   asio::io_context& io_;
   NodeConfig config_;
-  struct Leaving {  // a class that was dropped, while clients may still use it
+  struct Leaving {  // a class that was dropped, or had another effect, while clients may still use it
     RequestClass cls;
     Time until{};
   };
--- a/tests/attempt_crossing_test.cpp
+++ b/tests/attempt_crossing_test.cpp
@@ -75,5 +75,26 @@
   EXPECT_EQ(seen.size(), 1u);
 }
 
+// Clients turn to a new configuration in a while: until then requests come in the form of before, under its rules.
+TEST_F(AttemptCrossing, AReloadThatChangesAnEffectTakesTheFormsOfNowAndOfBefore) {
+  start();
+  reload(0, Effect::unsafe);
+  const Ask now{.method = "POST", .body = "b"}, before{};
+  for (const auto& [a, attempts] : {std::pair(before, 2U), std::pair(now, 1U)}) {
+    seen.clear(), first = nullptr;
+    const auto w = asked(a);
+    ASSERT_NE(first, nullptr);
+    serve_the_next();
+    first->reset();
+    const int s = status(w);
+    EXPECT_EQ(s == 200, attempts == 2U) << s;
+    EXPECT_EQ(seen.size(), attempts);
+  }
+  EXPECT_EQ(status(Ask{.more = "Idempotency-Key: k1\r\n"}), 405);  // of neither
+  reload(0, Effect::safe);
+  EXPECT_EQ(status(before), 200);
+  EXPECT_EQ(status(now), 200);
+}
+
 }  // namespace
 }  // namespace petrelrail::test
