Hand-over: an accept that fails is tried again after a pause

Without a descriptor the old process accepted its successor again and again without a pause, a loop that takes the processor from requests just when the process is at its limit. At fault: Handover::accept, which began the next accept whatever became of the last. Test: HandoverTest.AnAcceptThatFailsIsTriedAgainAfterAPause, at a real limit of descriptors, seen to fail without the change.

--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -211,6 +211,7 @@
 
 Handover::~Handover() {
   timers_.cancel(limit_);
+  timers_.cancel(pause_);
   // First of all: once the link has ended the other process offers itself, on the same path.
   if (acceptor_.is_open() && owns_path()) ::unlink(path_.c_str());
   if (link_) link_->abandon();
@@ -271,17 +272,23 @@
 void Handover::accept() {
   acceptor_.async_accept([this](const error_code& failed, LocalSocket socket) {
     if (failed == asio::error::operation_aborted) return;
-    if (!failed) {
-      // The latest one counts: an earlier one that took nothing has no claim, and is told so.
-      if (link_) std::exchange(link_, nullptr)->dismiss();
-      link_ = std::make_shared<Link>(*this, std::move(socket));
-      link_->read();
+    if (failed) {  // no descriptor, say: whoever waits is still there after a moment
+      pause_ = timers_.after(facts::kAcceptPause, [this] {
+        pause_.reset();
+        accept();
+      });
+      return;
     }
+    // The latest one counts: an earlier one that took nothing has no claim, and is told so.
+    if (link_) std::exchange(link_, nullptr)->dismiss();
+    link_ = std::make_shared<Link>(*this, std::move(socket));
+    link_->read();
     accept();
   });
 }
 
 void Handover::withdraw() {
+  timers_.cancel(pause_);
   error_code ignored;
   acceptor_.close(ignored);  // the path is the successor's to use
 }
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -84,6 +84,7 @@
   asio::basic_socket_acceptor<Local, Executor> acceptor_;
   std::shared_ptr<Link> link_;
   Timers::Handle limit_;
+  Timers::Handle pause_;  // after an accept that failed
 };
 
 }  // namespace petrelrail
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -2,7 +2,9 @@
 #include "handover.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
+#include <boost/asio/local/stream_protocol.hpp>
 #include <chrono>
 
 namespace petrelrail::test {
@@ -47,5 +49,42 @@
     EXPECT_THROW(succession_of(nlohmann::json::parse(text)), std::exception) << text;
 }
 
+struct NoOwner : Handover::Owner {
+  int listener() override { return -1; }
+  nlohmann::json leave_state() override { return {}; }
+  void listener_came(Descriptor) override {}
+  void state_came(const nlohmann::json&) override {}
+  void replaced() override {}
+  void told_by_peer(const nlohmann::json&) override {}
+  void peer_lost() override {}
+};
+// Without a descriptor an accept fails, and would fail again at once, as long as somebody waits: a pause lies before the
+// next one, and whoever waits is taken after it.
+TEST(HandoverTest, AnAcceptThatFailsIsTriedAgainAfterAPause) {
+  asio::io_context io(1);
+  Clock clock;
+  Timers timers{io, clock};
+  NoOwner owner;
+  const auto path = ::testing::TempDir() + "petrelrail-accept-" + std::to_string(::getpid()) + ".sock";
+  Handover serving(io, timers, path, owner);
+  serving.offer();
+  asio::local::stream_protocol::socket waits(io);
+  waits.connect(asio::local::stream_protocol::endpoint(path));
+  rlimit given{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &given), 0);
+  const int next = ::dup(waits.native_handle());
+  ::close(next);
+  const rlimit none{static_cast<rlim_t>(next), given.rlim_max};
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+  std::size_t ran = 0;
+  while (ran < 1000 && io.poll_one() > 0) ++ran;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &given), 0);
+  EXPECT_GE(ran, 1u);
+  EXPECT_LT(ran, 1000u);
+  EXPECT_FALSE(serving.linked());
+  while (!serving.linked() && io.run_one_for(10s) > 0) {}
+  EXPECT_TRUE(serving.linked());
+}
+
 }  // namespace
 }  // namespace petrelrail::test
