--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,7 +16,9 @@
 cmake --build build-test/consumer -j "$jobs"
 build-test/consumer/petrelrail_example
 
-cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DPETRELRAIL_TESTS=ON -DPETRELRAIL_LAB=ON -DPETRELRAIL_SANITIZE=ON
+# Little optimisation and line tables alone: the sanitizers see the same, and the build takes less of CI's half hour.
+cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo "-DCMAKE_CXX_FLAGS_RELWITHDEBINFO=-O1 -g1 -DNDEBUG" \
+  -DPETRELRAIL_TESTS=ON -DPETRELRAIL_LAB=ON -DPETRELRAIL_SANITIZE=ON
 cmake --build build-asan -j "$jobs"
 ctest --test-dir build-asan --output-on-failure -j "$jobs" -E "^(${red:-none})\$"
 
