Test, red: a whole answer that is passed on is finished whatever comes behind it

Seen: a price server's answer of 24,000 bytes with 52 bytes behind it; 20,480 bytes came to the client, and the node ended its connection (outcome=reset reason=trailing_bytes). At fault: ServerConnection::finish, which takes bytes behind a whole answer for a broken one also when a part of it has been passed on already.

--- a/tests/answer_process_test.cpp
+++ b/tests/answer_process_test.cpp
@@ -43,5 +43,55 @@
   EXPECT_TRUE(logged("node: refused request=a1 cause=quota_used")) << log();
 }
 
+// Long enough to pass on before it is whole.
+constexpr std::size_t kLong = 24'000;
+
+struct Framing {
+  const char* name;
+  bool chunked;
+};
+struct Behind {
+  const char* name;
+  std::string bytes;
+};
+
+// Issue 30: a part of the answer has been passed on when its last byte comes with bytes behind it that belong to nobody. The answer
+// is whole: its client gets all of it, the next request on the connection is served, and the server's connection is not used again.
+TEST_F(Answers, AWholeAnswerThatIsPassedOnIsFinishedWhateverComesBehindIt) {
+  const std::string body(kLong, 'b');
+  std::string answer;
+  server.on([&](Wire& w) {
+    if (!w.message().empty()) w.send(answer);
+  });
+  start();
+  const std::vector<Framing> framings{{"length", false}, {"chunked", true}};
+  const std::vector<Behind> behinds{
+      {"a few bytes", std::string(52, 'x')},
+      {"a second answer", http_answer("200 OK", "another")},
+      {"a second answer, long", http_answer("200 OK", std::string(kLong, 'c'))}};
+  const auto w = loop.connect(listen);
+  for (const auto& framing : framings) {
+    for (const auto& behind : behinds) {
+      SCOPED_TRACE(std::string(framing.name) + ", behind it " + behind.name);
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx", body.size());
+      answer = framing.chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) +
+                                     "\r\n" + body + "\r\n0\r\n\r\n"
+                               : http_answer("200 OK", body);
+      answer += behind.bytes;
+      w->in.clear();
+      w->send(post());
+      const auto whole = [&] {
+        return framing.chunked ? w->in.ends_with("\r\n0\r\n\r\n") : w->in.ends_with("\r\n\r\n" + body);
+      };
+      ASSERT_TRUE(loop.until([&] { return whole() || w->ended; }));
+      EXPECT_TRUE(whole()) << w->in.size() << " bytes came, and the connection ended\n" << log();
+      ASSERT_FALSE(w->ended);
+    }
+  }
+  EXPECT_EQ(figure("node_session_ends{reason=\"answer_broke\"}"), "0");
+  EXPECT_EQ(figure("node_pool_reuses"), "0");
+}
+
 }  // namespace
 }  // namespace petrelrail::test
