Answers: one that is being passed on is finished once it is whole, whatever comes behind it

Class: what is decided about a connection to a price server ends an answer that its client is owed.

Change: fate_of_answer in src/policy/request_rules.hpp decides. Bytes behind a whole answer fail it only while nothing has been passed on (then 502 or another attempt, as before); else the answer is finished. Either way the server's connection is closed and its server has spoken out of turn. What came of an answer before it broke is passed on before it is cut off, also where the break lies in the same read (pass_on_rest). At fault: ServerConnection::finish, ServerConnection::close.

--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 
 #include "facts.hpp"
+#include "policy/request_rules.hpp"
 #include "upstream.hpp"
 
 namespace petrelrail {
@@ -310,6 +311,13 @@
   body.clear();
 }
 
+// What has come of an answer that breaks is its client's: it ends where the server's answer ended.
+void ServerConnection::pass_on_rest() {
+  auto& body = parser_->get().body();
+  if (!body.empty()) upstream_.owner_.stream_piece(*errand_, body, nullptr);
+  body.clear();
+}
+
 void ServerConnection::go_on() {
   if (stage_ == Stage::closed || !std::exchange(paused_, false)) return;
   expect_more(Outcome::reset, AttemptEnd::stalled);
@@ -344,15 +352,18 @@
   close(Outcome::reset, why);
 }
 
-// What goes on after its end is no answer to one request: nobody knows where the right one ends.
+// Bytes behind a whole answer belong to no request of this connection, and the connection is of no more use.
 void ServerConnection::finish() {
-  if (buffer_.size() > 0 && errand_->message) {
+  const bool bytes_behind = buffer_.size() > 0;
+  if (bytes_behind && errand_->message) {
     const Time now = upstream_.timers_.now();
-    return pool_.out_of_turn(now, now), broke(AttemptEnd::trailing_bytes);
+    pool_.out_of_turn(now, now);
+    if (policy::fate_of_answer(true, bytes_behind, streams_) == policy::AnswerFate::fail)
+      return broke(AttemptEnd::trailing_bytes);
   }
   const bool lasts = parser_->keep_alive();  // not where the answer ends with the connection
   auto response = parser_->release();
-  const bool keep = lasts && stage_ == Stage::waiting && buffer_.size() == 0;
+  const bool keep = lasts && stage_ == Stage::waiting && !bytes_behind;
   const auto outcome = outcome_of(response);
   Answer answer{response.result(), {}, std::string(response[http::field::content_type]), {}};
   if (!streams_) {
@@ -365,7 +376,7 @@
     stage_ = Stage::closed;
     close_now(socket_);
   }
-  end(outcome, AttemptEnd::answered, std::move(answer));
+  end(outcome, bytes_behind ? AttemptEnd::trailing_bytes : AttemptEnd::answered, std::move(answer));
   read();
 }
 
@@ -392,6 +403,7 @@
   const auto self = shared_from_this();
   upstream_.timers_.cancel(limit_);
   upstream_.timers_.cancel(hold_);
+  if (errand_ && streams_ && outcome == Outcome::reset) pass_on_rest();
   const auto errand = std::exchange(errand_, std::nullopt);
   if (stage_ != Stage::closed) {
     // One that was taken and not written to idles on, as its server sees it.
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -67,6 +67,7 @@
   void write_head(Time now);
   void start_upload();
   void pass_on();
+  void pass_on_rest();
   void end(Outcome outcome, AttemptEnd why, Answer answer);
 
   Upstream& upstream_;
--- a/tests/answer_process_test.cpp
+++ b/tests/answer_process_test.cpp
@@ -93,5 +93,25 @@
   EXPECT_EQ(figure("node_pool_reuses"), "0");
 }
 
+// What came of it before it broke is its client's, also where the break lies in the same read.
+TEST_F(Answers, AnAnswerThatBreaksIsPassedOnUpToWhereItBroke) {
+  const std::string last(100, 'z');
+  server.on([&](Wire& w) {
+    if (w.message().empty()) return;
+    std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5dc0\r\n" +
+                         std::string(kLong, 'b') + "\r\n";
+    w.send(answer + "64\r\n" + last + "\r\nno chunk\r\n");
+  });
+  start();
+  const auto w = loop.connect(listen);
+  w->send(post());
+  ASSERT_TRUE(loop.until([&] { return w->ended; }));
+  EXPECT_NE(w->in.find(last), std::string::npos) << w->in.size() << " bytes came\n" << log();
+  EXPECT_FALSE(w->in.ends_with("0\r\n\r\n"));
+  EXPECT_TRUE(logged("reason=malformed")) << log();
+  w->close();
+  EXPECT_TRUE(loop.until([&] { return figure("node_session_ends{reason=\"answer_broke\"}") == "1"; }));
+}
+
 }  // namespace
 }  // namespace petrelrail::test
