Rules: one place decides what may be done for a request, checked at run time and counted

Whether an attempt may begin, be written or be repeated, an answer be given or count as whole, and a client's connection end was decided in five places, and nothing checked them. The node asks it before each attempt, first byte, final answer, end of an answer in pieces and end of a session; a step that is turned down is left undone, logged with the request's id and counted in node_rule_breaches. A request without an answer 0.3 s after its time is answered 504 and counted (answer_overdue): whatever kept the answer back, it is not lost.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "facts.hpp"
+#include "policy/request_rules.hpp"
 
 namespace petrelrail {
 namespace {
@@ -494,6 +495,8 @@
   const bool unanswered = request_ != 0 || stage_ == Stage::streaming || stage_ == Stage::writing;
   clients_.session_ends_.add(why_.value_or(why));
   if (unanswered) log_unanswered(why_.value_or(why));
+  if (const auto breach = policy::may_end_session(unanswered, is_own(why_.value_or(why))))
+    clients_.owner_.breached(*breach, id_);
   const auto request = std::exchange(request_, 0);
   enter(Stage::closed);
   close_now(socket_);
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -16,6 +16,7 @@
 #include "net.hpp"
 #include "petrelrail/gateway.hpp"
 #include "piece_body.hpp"
+#include "policy/request_rules.hpp"
 #include "upload.hpp"
 
 namespace petrelrail {
@@ -137,6 +138,8 @@
     // The number given is the session's way to say later that its client has gone.
     virtual std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) = 0;
     virtual void client_gone(std::uint64_t request) = 0;
+    // A session did what the rules turn down.
+    virtual void breached(policy::Breach, const std::string& /*request_id*/) {}
     // More sessions than their share, where servers' connections leave or can give up descriptors: whether one
     // could be had, and having it.
     virtual bool could_lend() const { return false; }
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -407,6 +407,7 @@
   upstream_.timers_.cancel(limit_);
   upstream_.timers_.cancel(hold_);
   if (errand_ && streams_ && outcome == Outcome::reset) pass_on_rest();
+  if (errand_) errand_->whole = outcome == Outcome::ok || (streams_ && parser_->is_done());
   const auto errand = std::exchange(errand_, std::nullopt);
   if (stage_ != Stage::closed) {
     // One that was taken and not written to idles on, as its server sees it.
--- a/src/node/connection.hpp
+++ b/src/node/connection.hpp
@@ -25,6 +25,7 @@
   Time answered{};              // when a long answer began to pass on
   Duration connect{};           // what its connection took to come up; 0: it idled
   Time begin_by = Time::max();  // of the module's Send
+  bool whole = false;           // its answer has come whole
 };
 
 class Upstream;
--- a/src/node/end_reason.hpp
+++ b/src/node/end_reason.hpp
@@ -78,6 +78,17 @@
   return kRefusalCauseNames.at(static_cast<std::size_t>(cause));
 }
 
+// Whether an end is this node's own decision, and not its client's or that of what the client was to get.
+constexpr bool is_own(SessionEnd end) {
+  switch (end) {
+    case SessionEnd::answered:
+    case SessionEnd::idle:
+    case SessionEnd::descriptor:
+    case SessionEnd::process_ends: return true;
+    default: return false;
+  }
+}
+
 // How often each value of an enumeration has occurred.
 template <class Reason, std::size_t kCount>
 class ReasonCounts {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -29,6 +29,8 @@
 inline constexpr Duration kLastWord = 100ms;     // for the last answers to leave before that
 inline constexpr Duration
     kFinalLate = 400ms;  // a final answer half a second after its time is lost; and margin
+inline constexpr Duration kOverdue = 300ms;      // beyond its time: what has no answer by then gets one
+inline constexpr Duration kOverdueLook = 100ms;  // open requests are looked at so often for that
 
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
 inline constexpr std::uint64_t kLongestBody = 64ULL << 20U;  // of a request; more is answered 413
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -161,6 +161,7 @@
     for (std::size_t i = 0; i < names.size(); ++i) labelled(name, label, std::string(names[i]), counts[i]);
   };
   single("retries", "counter", retries_);
+  by_name("rule_breaches", "breach", policy::kBreachNames, breaches_);
   by_name("refusals", "cause", kRefusalCauseNames, refusal_causes_.all());
   by_name("session_ends", "reason", kSessionEndNames, now.session_ends.all());
   by_name("attempt_ends", "reason", kAttemptEndNames, now.attempt_ends.all());
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -1,6 +1,7 @@
 // The figures that the operators fetch: counters, raised where the thing happens, and their text.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -10,6 +11,7 @@
 #include "end_reason.hpp"
 #include "log.hpp"
 #include "peers.hpp"
+#include "policy/request_rules.hpp"
 #include "pool.hpp"
 #include "together.hpp"
 
@@ -38,6 +40,7 @@
   Replies& replies(const std::string& request_class) { return replies_[request_class]; }
   void dispatched() { ++dispatches_; }
   void retried() { ++retries_; }
+  void breached(policy::Breach breach) { ++breaches_.at(static_cast<std::size_t>(breach)); }
   void refused(RefusalCause cause) { refusal_causes_.add(cause); }
   void reloaded(bool taken) { ++(taken ? reload_success_ : reload_failure_); }
 
@@ -47,6 +50,7 @@
   std::map<std::string, Replies> replies_;
   RefusalCauses refusal_causes_;
   std::uint64_t retries_ = 0;
+  std::array<std::uint64_t, policy::kBreachNames.size()> breaches_{};
   std::uint64_t dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -278,7 +278,7 @@
   gave_up_ = true;
   std::vector<RequestId> unanswered;
   for (const auto& [id, o] : open_)
-    if (o.asker && !o.streams) unanswered.push_back(id);
+    if (o.asker && !o.life.passes_on()) unanswered.push_back(id);
   for (const auto id : unanswered) {
     finish(id, &Metrics::Replies::error,
            {http::status::gateway_timeout, "this process ends\n", "text/plain", {}});
@@ -329,9 +329,13 @@
   auto& counts = metrics_.replies(request.cls().name);
   if (log::follows_requests())
     log::request("node", "taken", {{"request", request.id}, {"class", request.cls().name}});
-  open_.emplace(
-      id, Open{std::move(asker), std::make_shared<const ClientRequest>(std::move(request)), &counts, 0, 0});
+  const auto& cls = request.cls();
+  const policy::RequestTerms terms{cls.effect, cls.memory_span, request.deadline,
+                                   request.settings->max_attempts};
+  open_.emplace(id, Open{std::move(asker), std::make_shared<const ClientRequest>(std::move(request)), &counts,
+                         policy::RequestLife(terms)});
   ++concurrent_;
+  watch_overdue();
   happened(arrival);
   return static_cast<std::uint64_t>(id);
 }
@@ -341,11 +345,13 @@
   const auto it = open_.find(id);
   if (it == open_.end() || !it->second.asker) return;
   it->second.asker.reset();
+  it->second.life.client_left();
   --concurrent_;
   ++it->second.replies->error;
   happened(ClientGone{id});
   // What is left of a long answer is for nobody.
-  if (it->second.streams && it->second.out > 0) return upstream_.cancel(id, it->second.attempts - 1);
+  const auto& life = it->second.life;
+  if (life.passes_on() && life.out() > 0) return upstream_.cancel(id, life.attempts() - 1);
   forget_if_done(id);
 }
 
@@ -353,7 +359,7 @@
 // connection, and the loop may not have come round to its close.
 bool Node::still_wanted(RequestId request) {
   const auto it = open_.find(request);
-  if (it == open_.end() || !it->second.asker) return false;
+  if (it == open_.end() || !it->second.asker || !it->second.life.may_write(timers_.now())) return false;
   if (it->second.asker->waits()) return true;
   client_gone(static_cast<std::uint64_t>(request));
   return false;
@@ -368,6 +374,8 @@
   const bool streamed = errand.answered != Time{};
   e.connect = errand.connect;
   e.took = (streamed ? errand.answered : timers_.now()) - errand.began;
+  if (streamed && outcome != Outcome::ok && errand.whole)
+    breached(policy::Breach::whole_answer_cut, errand.message->id);
   if (streamed)
     end_stream(errand.request, outcome == Outcome::ok);
   else if (outcome == Outcome::ok)
@@ -376,7 +384,7 @@
   const auto& upload = errand.message->upload;
   e.spent = upload && upload->begun();
   e.finished = it == open_.end() || !it->second.asker;
-  if (it != open_.end()) --it->second.out;
+  if (it != open_.end()) it->second.life.attempt_ended(outcome);
   forget_if_done(errand.request);
   happened(e);
 }
@@ -384,7 +392,9 @@
 bool Node::stream_began(const Errand& errand, const AnswerHead& head) {
   const auto it = open_.find(errand.request);
   if (it == open_.end() || !it->second.asker) return false;
-  it->second.streams = true;
+  if (const auto breach = it->second.life.may_answer())
+    return breached(*breach, it->second.message->id), false;
+  it->second.life.passes_on_from_now();
   it->second.asker->begin(head);
   happened(StreamStarted{errand.request, errand.attempt});
   return true;
@@ -400,6 +410,7 @@
   if (it == open_.end()) return;
   const auto asker = std::exchange(it->second.asker, nullptr);
   if (!asker) return;
+  it->second.life.answered();
   --concurrent_;
   ++(whole ? it->second.replies->success : it->second.replies->error);
   if (log::follows_requests())
@@ -506,12 +517,23 @@
   if (it == open_.end()) return;
   auto& o = it->second;
   const Time now = timers_.now();
-  ++o.out;
-  if (o.attempts > 0) metrics_.retried();
+  const auto attempt = o.life.attempts();
+  const auto breach = o.life.may_send(now);
+  o.life.sent(now);
+  if (breach) {
+    breached(*breach, o.message->id);
+    AttemptEnded e;
+    e.request = s.request, e.attempt = attempt, e.server = s.server, e.outcome = Outcome::never_sent;
+    e.finished = !o.asker;
+    o.life.attempt_ended(e.outcome);
+    forget_if_done(s.request);
+    return happened(e);
+  }
+  if (attempt > 0) metrics_.retried();
   if (log::follows_requests())
-    log::request("node", o.attempts > 0 ? "sent again" : "sent",
-                 {{"request", o.message->id}, {"attempt", std::to_string(o.attempts)}});
-  upstream_.send({s.request, o.attempts++, s.server, now, now + s.timeout, o.message, {}, {}, s.begin_by});
+    log::request("node", attempt > 0 ? "sent again" : "sent",
+                 {{"request", o.message->id}, {"attempt", std::to_string(attempt)}});
+  upstream_.send({s.request, attempt, s.server, now, now + s.timeout, o.message, {}, {}, s.begin_by});
 }
 
 void Node::carry_out(const Refuse& s) {
@@ -550,8 +572,12 @@
 // The final answer, once: after it the session is no longer in the table.
 void Node::finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer) {
   const auto it = open_.find(request);
-  if (it == open_.end() || it->second.streams) return;
-  if (const auto asker = std::exchange(it->second.asker, nullptr)) {
+  if (it == open_.end()) return;
+  // One whose client has left may still be refused by a decision that had been made: nobody is told.
+  if (const auto asker = it->second.asker) {
+    if (const auto breach = it->second.life.may_answer()) return breached(*breach, it->second.message->id);
+    it->second.asker.reset();
+    it->second.life.answered();
     --concurrent_;
     ++(it->second.replies->*count);
     if (log::follows_requests())
@@ -563,9 +589,40 @@
   forget_if_done(request);
 }
 
+// What was about to be done would have broken a promise to a client. It is left undone, counted and told.
+void Node::breached(policy::Breach breach, const std::string& request_id) {
+  metrics_.breached(breach);
+  const auto name = policy::kBreachNames.at(static_cast<std::size_t>(breach));
+  log::write(log::Level::error, "rules", "a step was turned down",
+             {{"breach", std::string(name)}, {"request", request_id}});
+}
+
+// Whatever kept its answer back, a request that is overdue has one: it is lost half a second after its time.
+void Node::watch_overdue() {
+  if (overdue_ || open_.empty()) return;
+  overdue_ = timers_.after(facts::kOverdueLook, [this] {
+    overdue_.reset();
+    answer_overdue();
+    watch_overdue();
+  });
+}
+
+void Node::answer_overdue() {
+  const Time now = timers_.now();
+  std::vector<RequestId> overdue;
+  for (const auto& [id, o] : open_)
+    if (o.asker && !o.message->upload && o.life.overdue(now, facts::kOverdue)) overdue.push_back(id);
+  for (const auto id : overdue) {
+    breached(policy::Breach::answer_overdue, open_.at(id).message->id);
+    finish(id, &Metrics::Replies::error,
+           {http::status::gateway_timeout, "no answer in time\n", "text/plain", {}});
+    happened(ClientGone{id});
+  }
+}
+
 void Node::forget_if_done(RequestId request) {
   const auto it = open_.find(request);
-  if (it != open_.end() && !it->second.asker && it->second.out == 0) open_.erase(it);
+  if (it != open_.end() && !it->second.asker && it->second.life.out() == 0) open_.erase(it);
 }
 
 }  // namespace petrelrail
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -18,6 +18,7 @@
 #include "net.hpp"
 #include "peers.hpp"
 #include "petrelrail/gateway.hpp"
+#include "policy/request_rules.hpp"
 #include "settings_reader.hpp"
 #include "together.hpp"
 #include "upstream.hpp"
@@ -66,8 +67,7 @@
     std::shared_ptr<Asker> asker;  // none: it has its final answer, or its client has gone
     std::shared_ptr<const ClientRequest> message;
     Metrics::Replies* replies = nullptr;  // the counts of its class
-    bool streams = false;                 // its answer passes on in pieces, from its last attempt
-    std::uint32_t attempts = 0, out = 0;
+    policy::RequestLife life;             // what may be done for it
   };
 
   bool ready() override;
@@ -122,6 +122,9 @@
   void finish(RequestId request, std::uint64_t Metrics::Replies::*count, const Answer& answer);
   void end_stream(RequestId request, bool whole);
   void forget_if_done(RequestId request);
+  void breached(policy::Breach breach, const std::string& request_id) override;
+  void watch_overdue();
+  void answer_overdue();
   bool set_out(const std::string& server, bool out);
   void ask_when_ready();
   void serve();
@@ -139,7 +142,8 @@
     Time until{};
   };
   std::vector<Leaving> leaving_;
-  Timers::Handle turn_;  // the next of them goes
+  Timers::Handle turn_;     // the next of them goes
+  Timers::Handle overdue_;  // open requests are looked at
   Clock clock_;
   Timers timers_;
   Upstream upstream_;
