SIGTERM: the last answers leave by the deadlines of the configuration in force

Need: SIGKILL comes the longest deadline of the deployment (3 s at most) and 0.7 s after SIGTERM. After a reload that shortens deadlines Clients::drain still counted the dropped classes, which are kept for a while for clients that turn: the last word would have come after SIGKILL. Change: Node::drain hands over the longest deadline of the configuration's own classes. At fault: Clients::drain, which read settings_ with the classes that leave.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -675,12 +675,10 @@
   timers_.after(facts::kSweepClients, [this] { sweep(); });
 }
 
-void Clients::drain() {
+void Clients::drain(Duration longest_deadline) {
   draining_ = true;
   last_accept_ = told_to_end_ = timers_.now();
-  Duration longest{};
-  for (const auto& c : settings_->classes) longest = std::max(longest, c.deadline);
-  last_word_ = told_to_end_ + std::min(longest, facts::kDeadlineAtTerm) + facts::kKillAfterTerm -
+  last_word_ = told_to_end_ + std::min(longest_deadline, facts::kDeadlineAtTerm) + facts::kKillAfterTerm -
                facts::kLastWord;
   if (retired_) return;  // they are told with their next answers
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -163,8 +163,9 @@
   // Requests that come whole from now on are read under these.
   void tune(std::shared_ptr<const Settings> settings) { settings_ = std::move(settings); }
   Tcp::endpoint listens_at() const { return acceptor_.local_endpoint(); }
-  // From now on every answer ends its connection, and those without a request are closed.
-  void drain();
+  // From now on every answer ends its connection, and those without a request are closed. `longest_deadline` is that of the classes
+  // of the configuration in force: SIGKILL follows it.
+  void drain(Duration longest_deadline);
   bool drained() const;
   // By when the last answers have to leave before SIGKILL; it is known once drain() was called.
   Time last_word() const { return last_word_; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -262,7 +262,10 @@
 
 void Node::drain(std::function<void()> done) {
   drained_ = std::move(done);
-  clients_.drain();
+  // A class that was dropped may have had a longer deadline: whoever ends this process does not wait for that.
+  Duration longest{};
+  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+  clients_.drain(longest);
   if (together_ && !succeeded_) {
     together_->resign();
     drains_until_ = timers_.now() + facts::kGivingOn;
