--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -22,6 +22,7 @@
   bool processes = false;                    // the carrier; else the model
   std::optional<std::filesystem::path> out;  // a folder for events, figures and logs
   std::filesystem::path program;             // of the nodes, for the process carrier
+  std::filesystem::path system_faults;       // the library that makes their system calls fail
   bool trace = false;                        // every record of every request goes to the events
   double most_lag_ms = 25;  // 99th percentile of the lab's own lag beyond which a play is void
   std::function<bool()> stopped = [] { return false; };  // asked now and then: end, and write what there is
@@ -29,11 +30,12 @@
 };
 
 struct Played {
-  nlohmann::json figures;             // as written to figures.json
-  std::vector<std::string> failures;  // expectations that don't hold, each with figure and bound
-  std::vector<std::string> breaches;  // of rules
-  std::string crash;                  // of which node, with its last log lines; empty: none
-  std::string void_because;           // the lab itself ran late; empty: it did not
+  nlohmann::json figures;                  // as written to figures.json
+  std::vector<std::string> failures;       // expectations that don't hold, each with figure and bound
+  std::vector<std::string> breaches;       // of rules
+  std::vector<std::string> node_breaches;  // rules that nodes turned a step down for, as their logs tell
+  std::string crash;                       // of which node, with its last log lines; empty: none
+  std::string void_because;                // the lab itself ran late; empty: it did not
   bool stopped = false;
   int status() const;  // of the tool: 0, 1 or 3
 };
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "report.hpp"
 #include "scenario_file.hpp"
 #include "shadow_study.hpp"
+#include "soak.hpp"
 
 namespace {
 
@@ -42,6 +43,13 @@
                                    "cpu_us_per_try"};
 };
 
+struct SoakArguments {
+  std::uint64_t first_seed = 1;
+  std::uint32_t seeds = 10, nodes = 24;
+  double seconds = 15;
+  std::string out, program;
+};
+
 struct ReportArguments {
   std::vector<std::string> plays;
   std::string to = "report.html";
@@ -110,6 +118,36 @@
   return outcome.status();
 }
 
+// Plays the seeds one after another; each that finds something is named with what it found.
+int soak(const SoakArguments& a) {
+  std::uint32_t failed = 0;
+  for (std::uint32_t i = 0; i < a.seeds && interrupted == 0; ++i) {
+    Options o;
+    const SoakTerms terms{a.first_seed + i, a.nodes, a.seconds};
+    o.scenario = soak_scenario(terms);
+    o.seed = terms.seed, o.processes = true;
+    o.program = a.program.empty() ? beside_this_program("petrelrail") : std::filesystem::path(a.program);
+    o.system_faults = beside_this_program("libpetrelrail_system_faults.so");
+    if (!a.out.empty()) o.out = std::filesystem::path(a.out) / o.scenario.name;
+    o.trace = o.out.has_value();
+    o.stopped = [] { return interrupted != 0; };
+    const auto played = play(o);
+    print_summary(played);
+    std::string faults;
+    for (const auto& f : o.scenario.faults) faults += std::string(" ") + world::name_of(f.kind);
+    std::printf("  effect %s, deadline %.0f ms, wall clock %+.0f s, faults%s\n",
+                o.scenario.clients.effect.c_str(), o.scenario.clients.deadline_ms, o.scenario.system.step_s,
+                faults.c_str());
+    const auto findings = soak_findings(played);
+    for (const auto& f : findings)
+      std::printf("  seed %llu: %s\n", static_cast<unsigned long long>(terms.seed), f.c_str());
+    failed += findings.empty() && played.void_because.empty() ? 0 : 1;
+    std::fflush(stdout);
+  }
+  std::printf("%u of %u seeds with findings, or void\n", failed, a.seeds);
+  return failed == 0 ? 0 : 1;
+}
+
 // A side of a comparison: "-" (as it is), settings KEY=VALUE with commas between, or a program.
 Options side(const RunArguments& arguments, const std::string& what) {
   auto a = arguments;
@@ -250,6 +288,18 @@
                                         "read a scenario and say whether it makes sense: exit 0 or 2");
   check_verb->add_option("scenario", a.scenario, "a TOML file")->required();
   check_verb->add_option("--set", a.sets, "KEY=VALUE laid over the scenario")->allow_extra_args(false);
+  SoakArguments k;
+  auto* soak_verb = app.add_subcommand(
+      "soak", "play random overlapping faults on real processes, by seed: exit 0 if no rule is broken");
+  soak_verb->add_option("--seed", k.first_seed, "the first one")->capture_default_str();
+  soak_verb->add_option("--seeds", k.seeds, "how many")->check(CLI::Range(1, 10000))->capture_default_str();
+  soak_verb->add_option("--nodes", k.nodes, "edge nodes")->check(CLI::Range(1, 100))->capture_default_str();
+  soak_verb->add_option("--seconds", k.seconds, "that clients ask for")
+      ->check(CLI::Range(2.0, 600.0))
+      ->capture_default_str();
+  soak_verb->add_option("--out", k.out, "folder for each seed's events and logs");
+  soak_verb->add_option("--program", k.program,
+                        "the edge node to start; by default the one beside this tool");
   MembersStudy m;
   auto* members_verb = app.add_subcommand(
       "members",
@@ -328,6 +378,7 @@
     if (run_verb->parsed()) return run(a);
     if (compare_verb->parsed()) return compare_sides(a, c);
     if (report_verb->parsed()) return report(r);
+    if (soak_verb->parsed()) return soak(k);
     try {
       if (duties_verb->parsed()) return duty_study(d);
       if (records_verb->parsed()) return records_study(rs);
--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 
+#include "answer_form.hpp"
 #include "helpers.hpp"
 #include "world/configuration.hpp"
 
@@ -29,6 +30,8 @@
 constexpr Duration kWatchLine = 2s, kCounterIdle = 10s, kOldAddress = 1500ms;  // PROTOCOL, TERMS
 constexpr std::size_t kCounterLinks = 32;
 constexpr std::size_t kLogLines = 5;
+constexpr Duration kPiecePause = 3ms;  // between the pieces of an answer
+constexpr double kStepAfterMs = 3000;  // after the start of a process its wall clock is stepped
 
 std::string hex(std::uint64_t n) {
   char text[17];
@@ -40,7 +43,16 @@
   std::from_chars(text.data(), text.data() + text.size(), n, 16);
   return n;
 }
-std::string body_for(TryId id) { return "price for " + hex(static_cast<std::uint64_t>(id)) + "\n"; }
+// The same for every attempt; of a share of the requests longer than a node holds back before it passes on.
+std::string body_for(TryId id, const WireTerms& wire) {
+  constexpr std::size_t kLongest = 60 * 1024;
+  const auto line = "price for " + hex(static_cast<std::uint64_t>(id)) + "\n";
+  auto dice = Dice(static_cast<std::uint64_t>(id)).stream("length");
+  if (!dice.chance(wire.long_answers)) return line;
+  std::string body;
+  for (const auto size = line.size() + dice.below(kLongest); body.size() < size;) body += line;
+  return body;
+}
 
 }  // namespace
 
@@ -121,7 +133,7 @@
     Duration advice{};
     if (const auto it = m.find(http::field::retry_after); it != m.end())
       advice = from_seconds(std::strtod(std::string(it->value()).c_str(), nullptr));
-    const bool genuine = verdict != Verdict::served || m.body() == body_for(id);
+    const bool genuine = verdict != Verdict::served || m.body() == body_for(id, lab_.options_.scenario.wire);
     const bool kept = m.keep_alive();
     lab_.out_.erase(id);
     try_.reset();
@@ -149,7 +161,10 @@
     if (!t) return;
     if (no_connection) return lab_.world_->unreachable(t->id);
     // It crossed a close of an idle connection: once more, on a new one.
-    if (!fresh && nothing_came) return lab_.pass_on(*t);
+    if (!fresh && nothing_came && !lab_.sent_on_.contains(t->id)) return lab_.pass_on(*t);
+    // A part of an answer that broke at its price server: it has failed, and its client can tell.
+    if (!nothing_came && lab_.spoilt_.contains(t->id))
+      return lab_.world_->answered(t->id, Verdict::failed, {}, true);
     lab_.world_->broken(t->id, fresh);
   }
 
@@ -192,22 +207,41 @@
     const auto id = id_;
     lab_.attempts_.erase(std::exchange(attempt_, AttemptNumber::none));
     busy_ = false;
-    const std::string body = a == ServerAnswer::ok || a == ServerAnswer::spoilt ? body_for(id) : "no\n";
-    text_ = "HTTP/1.1 ";
-    text_ += a == ServerAnswer::error  ? "500 Internal Server Error\r\n"
-             : a == ServerAnswer::full ? "503 Service Unavailable\r\nX-Not-Processed: 1\r\n"
-                                       : "200 OK\r\n";
-    text_ += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    if (a == ServerAnswer::spoilt) text_.resize(text_.size() - body.size() / 2);
-    asio::async_write(socket_, asio::buffer(text_),
-                      [self = shared_from_this(), a](const error_code& failed, std::size_t) {
-                        if (self->gone_) return;
-                        if (failed || a == ServerAnswer::spoilt) return self->end(false);
-                      });
+    const auto& wire = lab_.options_.scenario.wire;
+    const bool good = a == ServerAnswer::ok || a == ServerAnswer::spoilt;
+    const std::string body = good ? body_for(id, wire) : "no\n";
+    const std::string_view head = a == ServerAnswer::error ? "HTTP/1.1 500 Internal Server Error\r\n"
+                                  : a == ServerAnswer::full
+                                      ? "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\n"
+                                      : "HTTP/1.1 200 OK\r\n";
+    auto dice = Dice(lab_.options_.seed).stream("form", ++lab_.answers_);
+    form_ = good ? draw_form(wire, dice, a == ServerAnswer::spoilt) : AnswerForm{};
+    if (form_.breaks) lab_.spoilt_.insert(id);
+    const auto pieces = pieces_of(form_, head, body);
+    pieces_.assign(pieces.begin(), pieces.end());
+    write();
   }
   std::uint32_t server() const { return server_; }
 
  private:
+  void write() {
+    text_ = std::move(pieces_.front());
+    pieces_.pop_front();
+    asio::async_write(socket_, asio::buffer(text_),
+                      [self = shared_from_this()](const error_code& failed, std::size_t) {
+                        if (self->gone_) return;
+                        if (failed) return self->end(false);
+                        self->written();
+                      });
+  }
+  void written() {
+    if (!pieces_.empty())
+      return lab_.agenda_.after(kPiecePause, [self = shared_from_this()] {
+        if (!self->gone_) self->write();
+      });
+    if (form_.breaks) return end(form_.by_reset);
+    if (form_.framing == AnswerForm::Framing::until_close) end(false);
+  }
   // The node, or its end: its connection is over.
   void end(bool by_reset) {
     if (gone_) return;
@@ -236,6 +270,7 @@
     const auto it = m.find("X-Request-ID");
     if (busy_ || it == m.end()) return end(true);  // one at a time; one with no id is none of ours
     id_ = TryId(from_hex(it->value()));
+    lab_.sent_on_.insert(id_);
     busy_ = true;
     const auto late = 2 * lab_.world_->way(node_, server_) + std::exchange(fresh_, Duration{});
     lab_.agenda_.after(late, [self = shared_from_this(), first = first_byte_] {
@@ -252,6 +287,8 @@
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string text_;
+  AnswerForm form_;
+  std::deque<std::string> pieces_;  // of its answer that are not written yet
   Time first_byte_{};
   Duration fresh_{};
   TryId id_{};
@@ -594,20 +631,34 @@
   std::filesystem::rename(n.folder / "config.new", n.folder / "config.json");
 }
 
+// What the library of failing system calls is told (lab/shim/system_faults.cpp).
+std::map<std::string, std::string> Processes::system_faults(std::uint32_t node) const {
+  const auto& s = options_.scenario.system;
+  std::string text = "seed=" + std::to_string(mix(options_.seed + node));
+  const auto add = [&](const char* key, double value) {
+    text += "," + std::string(key) + "=" + std::to_string(value);
+  };
+  add("accept", s.accept), add("connect", s.connect), add("socket", s.socket), add("poll", s.poll);
+  add("read", s.read), add("write", s.write), add("step_s", s.step_s), add("step_after_ms", kStepAfterMs);
+  return {{"LD_PRELOAD", options_.system_faults.string()},
+          {"PETRELRAIL_FAULTS", text},
+          {"ASAN_OPTIONS", "verify_asan_link_order=0"}};  // of a program built with the sanitizer
+}
+
 std::unique_ptr<Child> Processes::spawn(std::uint32_t node, const Tcp::endpoint& control) {
   write_config(node, control);
   const auto& n = nodes_[node];
   std::filesystem::create_directories(n.folder / "tmp");
-  return std::make_unique<Child>(Child::Plan{options_.program,
-                                             {{"GW_NAME", "n" + std::to_string(node)},
-                                              {"GW_LISTEN", text_of(n.listen)},
-                                              {"GW_DISCOVERY", n.agent->text()},
-                                              {"GW_MEMBERS", options_.scenario.fleet.members},
-                                              {"GW_CONFIG", (n.folder / "config.json").string()},
-                                              {"TMPDIR", (n.folder / "tmp").string()},
-                                              {"PATH", "/usr/bin:/bin"}},
-                                             n.log,
-                                             options_.scenario.fleet.sockets});
+  std::map<std::string, std::string> variables{{"GW_NAME", "n" + std::to_string(node)},
+                                               {"GW_LISTEN", text_of(n.listen)},
+                                               {"GW_DISCOVERY", n.agent->text()},
+                                               {"GW_MEMBERS", options_.scenario.fleet.members},
+                                               {"GW_CONFIG", (n.folder / "config.json").string()},
+                                               {"TMPDIR", (n.folder / "tmp").string()},
+                                               {"PATH", "/usr/bin:/bin"}};
+  if (options_.scenario.system.any()) variables.merge(system_faults(node));
+  return std::make_unique<Child>(
+      Child::Plan{options_.program, std::move(variables), n.log, options_.scenario.fleet.sockets});
 }
 
 // Asks again and again until the answer is 200, as long as that is wanted.
@@ -765,6 +816,17 @@
            end_in_words(status) + "), its last log lines:\n" + last_lines(nodes_[node].log, kLogLines);
 }
 
+// The lines that tell of a step that a node's rules turned down.
+std::vector<std::string> Processes::breaches() const {
+  std::vector<std::string> found;
+  for (const auto& n : nodes_) {
+    std::ifstream log(n.log);
+    for (std::string line; std::getline(log, line);)
+      if (line.find("rules: a step was turned down") != std::string::npos) found.push_back(line);
+  }
+  return found;
+}
+
 void Processes::look(bool measure) {
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     auto& n = nodes_[i];
@@ -946,6 +1008,7 @@
   auto outcome = recorder.finish(agenda.now(),
                                  {{"lag_p50_ms", p50}, {"lag_p99_ms", p99}, {"lag_most_ms", most}});
   outcome.crash = carrier.crash();
+  outcome.node_breaches = carrier.breaches();
   outcome.stopped = stopped;
   if (p99 > options.most_lag_ms) {
     char text[128];
--- a/lab/processes.hpp
+++ b/lab/processes.hpp
@@ -29,6 +29,7 @@
   // Looks after processes that have ended, and what they use; to be called now and then.
   void look(bool measure);
   const std::string& crash() const { return crash_; }
+  std::vector<std::string> breaches() const;
   // Asks every node that is up for its view of the members; views_agreed() tells of the latest answers.
   void ask_views();
   double views_agreed() const;
@@ -78,6 +79,7 @@
   asio::ip::address address(std::uint32_t node) const;
   void write_config(std::uint32_t node, const Tcp::endpoint& control);
   std::unique_ptr<Child> spawn(std::uint32_t node, const Tcp::endpoint& control);
+  std::map<std::string, std::string> system_faults(std::uint32_t node) const;
   void ask_ready(std::uint32_t node, const Tcp::endpoint& at, std::function<bool()> wanted,
                  std::function<void()> yes);
   void open_server(std::uint32_t node, std::uint32_t server);
@@ -102,6 +104,9 @@
   std::map<std::uint32_t, std::array<char, 2048>> datagrams_;
   std::map<std::uint32_t, asio::ip::udp::endpoint> senders_;
   std::map<std::uint32_t, nlohmann::json> views_;
+  std::set<world::TryId> spoilt_;   // answers to these broke on their way
+  std::set<world::TryId> sent_on_;  // these came to a price server
+  std::uint64_t answers_ = 0;       // of price servers
   std::string crash_;
   std::uint64_t seeds_ = 0;
   std::function<void(std::uint32_t, Child::Usage)> used_ = [](std::uint32_t, Child::Usage) {};
--- /dev/null
+++ b/lab/soak.cpp
@@ -0,0 +1,101 @@
+#include "soak.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "helpers.hpp"
+
+namespace petrelrail::lab {
+namespace {
+
+using namespace world;
+
+constexpr std::array kFaults{
+    FaultKind::kill,           FaultKind::restart,        FaultKind::stall,
+    FaultKind::upgrade,        FaultKind::reload,         FaultKind::counter_slow,
+    FaultKind::counter_silent, FaultKind::counter_spoilt, FaultKind::servers_bad,
+    FaultKind::servers_slow,   FaultKind::servers_gone,   FaultKind::servers_replaced,
+    FaultKind::answers_spoilt, FaultKind::burst,          FaultKind::list_late};
+constexpr std::array kEffects{"safe", "keyed", "unsafe"};
+constexpr std::uint64_t kLeastFaults = 4, kMostMoreFaults = 5;
+constexpr double kLongestStall = 0.15;  // STANDING, "What production adds"
+constexpr double kFirstFault = 1;       // seconds after the clients begin
+constexpr Range kLasts{0.5, 4}, kShare{0.1, 0.4}, kFactor{1.5, 4};
+constexpr double kSecondsInHour = 3600;
+
+Selector share_of(Selector::Kind kind, double share) {
+  Selector selector;
+  selector.kind = kind, selector.pick = Selector::Pick::share, selector.share = share;
+  return selector;
+}
+
+bool is_about_nodes(FaultKind kind) {
+  return kind == FaultKind::kill || kind == FaultKind::restart || kind == FaultKind::stall ||
+         kind == FaultKind::upgrade || kind == FaultKind::reload;
+}
+bool is_about_servers(FaultKind kind) {
+  return kind == FaultKind::servers_bad || kind == FaultKind::servers_slow ||
+         kind == FaultKind::servers_gone || kind == FaultKind::servers_replaced;
+}
+
+Fault draw_fault(Dice& dice, double seconds) {
+  Fault f;
+  f.kind = kFaults[dice.below(kFaults.size())];
+  f.at = dice.between(kFirstFault, seconds * 3 / 4);
+  f.lasts = f.kind == FaultKind::stall ? dice.between(0, kLongestStall) : dice.in(kLasts);
+  f.share = dice.in(kShare), f.factor = dice.in(kFactor), f.delay = 1;
+  if (is_about_nodes(f.kind)) f.who = {share_of(Selector::Kind::nodes, f.share)};
+  if (is_about_servers(f.kind)) f.who = {share_of(Selector::Kind::servers, f.share)};
+  if (f.kind == FaultKind::reload) f.move = dice.chance(0.5);
+  return f;
+}
+
+WireTerms draw_wire(Dice& dice) {
+  WireTerms w;
+  w.long_answers = dice.between(0, 0.5), w.chunked = dice.between(0, 0.5),
+  w.until_close = dice.between(0, 0.2);
+  w.bytes_behind = dice.between(0, 0.1), w.pieces = dice.between(0, 0.5);
+  return w;
+}
+
+SystemTerms draw_system(Dice& dice) {
+  SystemTerms s;
+  s.accept = dice.between(0, 0.05), s.connect = dice.between(0, 0.02), s.socket = dice.between(0, 0.01);
+  s.poll = dice.between(0, 0.1), s.read = dice.between(0, 0.2), s.write = dice.between(0, 0.2);
+  s.step_s = dice.chance(0.5) ? std::round(dice.between(-kSecondsInHour, kSecondsInHour)) : 0;
+  return s;
+}
+
+}  // namespace
+
+Scenario soak_scenario(const SoakTerms& terms) {
+  Dice dice = Dice(terms.seed).stream("soak");
+  Scenario s;
+  s.name = "soak-" + std::to_string(terms.seed);
+  s.fleet.nodes = terms.nodes, s.fleet.seconds = terms.seconds;
+  s.clients.effect = kEffects[dice.below(kEffects.size())];
+  s.clients.deadline_ms = dice.between(1500, 6000), s.clients.aim_ms = s.clients.deadline_ms / 2;
+  s.fleet.term_s = std::min(s.clients.deadline_ms / 1e3, 3.0) + 0.7;
+  s.clients.leave_share = dice.between(0, 0.1);
+  PlanTerms basic, extended;
+  basic.name = "basic", basic.share = 0.6;
+  extended.name = "extended", extended.share = 0.4, extended.rate = 8;
+  s.clients.plans = {basic, extended};
+  s.servers.error_rate = dice.between(0, 0.02);
+  s.wire = draw_wire(dice);
+  s.system = draw_system(dice);
+  for (auto n = kLeastFaults + dice.below(kMostMoreFaults); n > 0; --n)
+    s.faults.push_back(draw_fault(dice, terms.seconds));
+  std::ranges::sort(s.faults, {}, &Fault::at);
+  return s;
+}
+
+std::vector<std::string> soak_findings(const Played& played) {
+  auto findings = played.breaches;
+  if (!played.crash.empty()) findings.push_back(played.crash);
+  findings.insert(findings.end(), played.node_breaches.begin(), played.node_breaches.end());
+  return findings;
+}
+
+}  // namespace petrelrail::lab
--- a/src/world/figures.cpp
+++ b/src/world/figures.cpp
@@ -130,7 +130,7 @@
   } else if (const auto* u = std::get_if<TryUnreachable>(&s)) {
     end(u->id, Count::unreachable);
   } else if (const auto* l = std::get_if<TryLeft>(&s)) {
-    if (request(l->id) != nullptr && now > request(l->id)->sent)
+    if (!l->early && request(l->id) != nullptr && now > request(l->id)->sent)
       add(request(l->id)->sent, request(l->id)->node, Count::lost);
     end(l->id, Count::failed);
   } else if (const auto* t = std::get_if<AttemptArrived>(&s)) {
--- a/src/world/rules.cpp
+++ b/src/world/rules.cpp
@@ -78,7 +78,8 @@
   if (it == open_.end() || it->second.ended) return;
   held_[it->second.sent.node].erase(s.id);
   it->second.ended = true;
-  if (!s.first_on_connection && now < it->second.sent.deadline)
+  // One that was sent on had been read.
+  if ((!s.first_on_connection || !it->second.attempts.empty()) && now < it->second.sent.deadline)
     breach(now, "one final answer", text(s.id) + " lost: its connection was ended without an answer");
 }
 
@@ -96,6 +97,7 @@
            text(s.id) + " lost: no answer until " +
                std::to_string(std::llround(seconds(now - o.sent.deadline) * 1e3)) + " ms beyond its time");
   o.ended = true;
+  o.left = std::min(o.left, now);
 }
 
 // What a dead node had is gone; clients see to it. One that ended by itself has crashed, which is told elsewhere.
@@ -163,6 +165,8 @@
     return breach(now, "duplicates", text(s.id) + " reached server " + server + " though no client sent it");
   auto& o = it->second;
   check_copies(now, o, s);
+  if (o.left != Time::max() && s.first_byte > o.left + terms_.left_slack)
+    breach(now, "one final answer", text(s.id) + " was sent on after its client had left");
   if (!o.counted) check_quota(now, o);
   auto& c = customers_[o.sent.customer];
   ++c.out;
--- a/src/world/rules.hpp
+++ b/src/world/rules.hpp
@@ -26,6 +26,8 @@
   Duration memory_span = std::chrono::seconds(5);
   std::uint32_t most_bytes = 256;
   std::vector<Plan> plans;
+  // An attempt that begins so long after its client has closed is a lost request; 50 ms of it are the sockets'.
+  Duration left_slack = std::chrono::milliseconds(100 + 50);
 };
 
 struct Breach {
@@ -70,6 +72,7 @@
     Time at{};
     bool taken = false, answered = false, ended = false, over_time = false, inside = false, counted = false;
     std::vector<Sent> attempts;
+    Time left = Time::max();  // when its client closed
   };
   struct Told {
     Phase phase{};
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -93,6 +93,7 @@
   double aim_ms = 2500, deadline_ms = 8000;
   double patience_ms = 500;     // beyond its time; then the client closes: the request is lost
   std::string effect = "safe";  // "safe", "keyed" or "unsafe"
+  double leave_share = 0;       // of the tries whose client closes its connection before its time is over
   std::vector<PlanTerms> plans;
 };
 
@@ -103,6 +104,20 @@
   std::uint32_t most_bytes = 256;
 };
 
+struct
+    WireTerms {  // how answers of price servers go over their connections; processes alone. Shares of the answers
+  double long_answers = 0;  // of more bytes than a node holds back
+  double chunked = 0, until_close = 0;
+  double bytes_behind = 0;  // more comes behind the whole answer
+  double pieces = 0;        // written in pieces, with pauses
+};
+
+struct SystemTerms {  // failing system calls of the nodes; processes alone. lab/shim/system_faults.cpp
+  double accept = 0, connect = 0, socket = 0, poll = 0, read = 0, write = 0;  // shares of the calls
+  double step_s = 0;  // by which the wall clock is stepped a while after the start; 0: not at all
+  bool any() const { return accept + connect + socket + poll + read + write > 0 || step_s != 0; }
+};
+
 struct PriceTerms {           // WIRE, `prices`: points off the goal, each times its share or rate
   double cross_zone = 0.005;  // attempts at servers of another zone, per first try
   double handshake = 0;       // new connections, per first try
@@ -173,6 +188,8 @@
   ClientTerms clients;
   PeerTerms peers;
   PriceTerms prices;
+  WireTerms wire;
+  SystemTerms system;
   std::vector<Fault> faults;
   std::vector<Expectation> expectations;
 };
--- a/src/world/seen.hpp
+++ b/src/world/seen.hpp
@@ -42,6 +42,7 @@
 };
 struct TryLeft {  // the client closes its connection
   TryId id{};
+  bool early = false;  // before its time was over
 };
 
 struct NodeUp {
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -341,6 +341,11 @@
   tries_.emplace(t.id, OpenTry{t});
   see(TrySent{t.id, t.node, t.customer, t.plan, t.units, t.spread, t.deadline, t.root, t.asked});
   agenda_.at(t.deadline, [this, id = t.id] { time_up(id); });
+  if (terms.leave_share > 0) {
+    auto dice = dice_.stream("leave", static_cast<std::uint64_t>(t.id));
+    if (dice.chance(terms.leave_share))
+      agenda_.at(now + scaled(t.deadline - now, dice.part()), [this, id = t.id] { leave(id); });
+  }
   if (!node || !network_.passes(kClients, node_party(t.node))) {
     if (!node || network_.resets(kClients, node_party(t.node)))
       agenda_.after(2 * client_way(), [this, id = t.id] { unreachable(id); });
@@ -354,6 +359,15 @@
   return it == tries_.end() ? nullptr : &it->second.t;
 }
 
+// The client closes its connection before its time is over, and asks no more.
+void World::leave(TryId id) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end() || it->second.ended) return;
+  it->second.ended = true;
+  see(TryLeft{id, true});
+  carrier_.leave(id);
+}
+
 // The client's wait for this try is over: it may try again, but looks on for an answer for its patience.
 void World::time_up(TryId id) {
   const auto it = tries_.find(id);
@@ -363,7 +377,7 @@
     const auto open = tries_.find(id);
     if (open == tries_.end()) return;
     if (!open->second.ended) {
-      see(TryLeft{id});
+      see(TryLeft{id, false});
       carrier_.leave(id);
     }
     tries_.erase(open);
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -172,6 +172,7 @@
   double rate_now(const Customer& c, Time at) const;
   std::optional<std::uint32_t> pick_node(Customer& c);
   void ask(std::size_t customer, const Try* before);
+  void leave(TryId id);
   void time_up(TryId id);
   void retry(OpenTry& o, Duration advice);
   void forget(TryId id);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -70,6 +70,26 @@
   EXPECT_EQ(broken({{0s, sent(1)}, {1ms, taken(1)}, {9ms, TryBroken{TryId(1), false}}}), "one final answer");
   EXPECT_EQ(broken({{0s, sent(1)}, {1ms, taken(1)}, {9ms, TryBroken{TryId(1), true}}}), "");
 }
+// What was sent on had been read: then the first one on its connection is lost too.
+TEST_F(RulesTest, AConnectionEndedAfterItsRequestWasSentOnLosesItThoughItIsTheFirst) {
+  EXPECT_EQ(broken({{0s, told(1)},
+                    {0s, sent(1)},
+                    {1ms, taken(1)},
+                    {2ms, arrived(1, 2ms)},
+                    {9ms, TryBroken{TryId(1), true}}}),
+            "one final answer");
+}
+TEST_F(RulesTest, AnAttemptThatBeginsAfterItsClientHasLeft) {
+  const auto sent_on = [&](Duration at) {
+    return broken({{0s, told(1)},
+                   {0s, sent(1)},
+                   {1ms, taken(1)},
+                   {5ms, TryLeft{TryId(1), true}},
+                   {at, arrived(1, at)}});
+  };
+  EXPECT_EQ(sent_on(150ms), "");
+  EXPECT_EQ(sent_on(160ms), "one final answer");
+}
 TEST_F(RulesTest, WhatAKilledNodeHadIsNoBreachAndOneThatEndsByItselfIs) {
   EXPECT_EQ(
       broken({{0s, sent(1)}, {1ms, taken(1)}, {2ms, NodeDown{0, false}}, {3ms, TryBroken{TryId(1), false}}}),
