Start: a machine that is short of sockets for a moment is no reason to end

Change: Node::start and the control address try again after 20 ms where the whole machine is short (ENFILE, ENOBUFS, ENOMEM); an address that can't be had ends the process as before. A request sent before a kill is of the former life for 50 ms more, the sockets' slack; one that was sent after it is not (both tested).

--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -216,6 +216,7 @@
 }
 
 void Control::listen(const Tcp::endpoint& at) {
+  if (acceptor_.is_open()) acceptor_.close();
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -59,8 +59,26 @@
 void Node::start(std::function<void()> replaced) {
   replaced_ = std::move(replaced);
   discovery_.start(config_.known);
-  if (config_.control) control_.listen(*config_.control);
-  if (!handover_.seek()) serve();
+  listen_for_operators();
+  if (handover_.seek()) return;
+  try {
+    serve();
+  } catch (const boost::system::system_error& x) {
+    if (!is_system_shortage(x.code())) throw;
+    log::warning("node", "no socket to listen with: tried again", {{"why", x.code().message()}});
+    timers_.after(facts::kAcceptPause, [this] { serve_in_any_case(); });
+  }
+}
+
+// A machine that is short of sockets for a moment is no reason to end.
+void Node::listen_for_operators() {
+  if (!config_.control) return;
+  try {
+    control_.listen(*config_.control);
+  } catch (const boost::system::system_error& x) {
+    if (!is_system_shortage(x.code())) throw;
+    timers_.after(facts::kAcceptPause, [this] { listen_for_operators(); });
+  }
 }
 
 // ---- From one process to the next -----------------------------------------------------------------------------
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -129,6 +129,7 @@
   void ask_when_ready();
   void serve();
   void serve_in_any_case();
+  void listen_for_operators();
   void join(const nlohmann::json* predecessor);
   void wait_until_drained();
   void give_up();
--- a/src/world/rules.hpp
+++ b/src/world/rules.hpp
@@ -16,6 +16,8 @@
 struct RuleTerms {
   Duration answer_slack = std::chrono::milliseconds(16 + 50);  // WIRE's, and 50 ms on sockets
   Duration lost_after = std::chrono::milliseconds(500);        // beyond its time a request is lost
+  Duration read_late = std::chrono::milliseconds(
+      50);  // that a first byte is read after it came: the sockets'
   Duration drain_grace = std::chrono::milliseconds(1000 + 50);
   Duration ceiling_slack = std::chrono::milliseconds(150);  // the ceiling's rate over so long
   double told_share = 2.0 / 3;  // of what pushed a cold server over, from nodes that were told
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -90,6 +90,18 @@
   EXPECT_EQ(sent_on(150ms), "");
   EXPECT_EQ(sent_on(160ms), "one final answer");
 }
+// The judge reads what came before a kill only after it: of requests that were sent before.
+TEST_F(RulesTest, WhatIsReadAMomentAfterAKillIsOfTheFormerLife) {
+  const auto read_at = [&](Duration at) {
+    return broken({{0s, told(1)},
+                   {0s, sent(1)},
+                   {2ms, NodeDown{0, false}},
+                   {at, arrived(1, at)},
+                   {at, TryBroken{TryId(1), false}}});
+  };
+  EXPECT_EQ(read_at(12ms), "");
+  EXPECT_EQ(read_at(60ms), "listed servers");
+}
 TEST_F(RulesTest, WhatAKilledNodeHadIsNoBreachAndOneThatEndsByItselfIs) {
   EXPECT_EQ(
       broken({{0s, sent(1)}, {1ms, taken(1)}, {2ms, NodeDown{0, false}}, {3ms, TryBroken{TryId(1), false}}}),
--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -17,6 +17,11 @@
     run();
     ASSERT_TRUE(up());
   }
+  // The status of a process that has ended; none: it runs.
+  std::optional<int> exit_status_now() const {
+    int status = 0;
+    return waitpid(child, &status, WNOHANG) == child ? std::optional(status) : std::nullopt;
+  }
   // The server's answer to whatever comes: so many bytes.
   void answers_with(std::size_t bytes) {
     server.on([body = std::string(bytes, 'b')](Wire& w) {
@@ -75,6 +80,15 @@
   EXPECT_EQ(statuses[200] + statuses[429], kRequests);
   EXPECT_EQ(figure("node_pool_failed_connects"), "0");
 }
+// Half of the sockets can't be had: a process that starts tries again until it listens.
+TEST_F(SystemCalls, AStartThatFindsNoSocketIsTriedAgain) {
+  for (int i = 0; i < 8; ++i) {
+    start("socket=0.5,seed=" + std::to_string(i));
+    EXPECT_EQ(exit_status_now(), std::nullopt) << log();
+    kill(child, SIGKILL);
+    exit_status();
+  }
+}
 // The request waits at the price server while the wall clock goes an hour forward or back.
 TEST_F(SystemCalls, AStepOfTheWallClockEndsNoRequestAndHoldsNoneUp) {
   for (const std::string step : {"step_s=3600", "step_s=-3600"}) {
