--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,8 @@
 red=$(sed -n 's/^\([A-Za-z0-9_]*[.][A-Za-z0-9_]*\): .*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 sh scripts/packages.sh
 
+git ls-files "*.cpp" "*.hpp" | xargs clang-format --dry-run -Werror
+
 cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DPETRELRAIL_TESTS=ON -DPETRELRAIL_LAB=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
 cmake --build build-test -j "$jobs"
 ctest --test-dir build-test --output-on-failure -j "$jobs" -E "^(${red:-none})\$"
