Sessions and rules: the reason of an end is worked out once; two members without a caller go

ClientSession::close worked out the reason three times, on_written repeated what end_politely does with it; RequestLife::over and ReasonCounts::of had no caller. No behaviour changes, no test changed.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -424,7 +424,7 @@
 
 void ClientSession::on_written() {
   writing_ = {};
-  if (!keep_alive_) return end_politely(why_.value_or(SessionEnd::answered));
+  if (!keep_alive_) return end_politely(SessionEnd::answered);
   enter(Stage::reading);
   parse();
   read();
@@ -493,9 +493,10 @@
 void ClientSession::close(SessionEnd why) {
   if (closed()) return;
   const bool unanswered = request_ != 0 || stage_ == Stage::streaming || stage_ == Stage::writing;
-  clients_.session_ends_.add(why_.value_or(why));
-  if (unanswered) log_unanswered(why_.value_or(why));
-  if (const auto breach = policy::may_end_session(unanswered, is_own(why_.value_or(why))))
+  const auto reason = why_.value_or(why);
+  clients_.session_ends_.add(reason);
+  if (unanswered) log_unanswered(reason);
+  if (const auto breach = policy::may_end_session(unanswered, is_own(reason)))
     clients_.owner_.breached(*breach, id_);
   const auto request = std::exchange(request_, 0);
   enter(Stage::closed);
--- a/src/node/end_reason.hpp
+++ b/src/node/end_reason.hpp
@@ -94,7 +94,6 @@
 class ReasonCounts {
  public:
   void add(Reason reason) { ++counts_.at(static_cast<std::size_t>(reason)); }
-  std::uint64_t of(Reason reason) const { return counts_.at(static_cast<std::size_t>(reason)); }
   const std::array<std::uint64_t, kCount>& all() const { return counts_; }
 
  private:
--- a/src/policy/request_rules.hpp
+++ b/src/policy/request_rules.hpp
@@ -64,7 +64,6 @@
   std::uint32_t attempts() const { return attempts_; }
   std::uint32_t out() const { return out_; }
   bool passes_on() const { return passes_on_; }
-  bool over() const { return ended_ && out_ == 0; }
 
   // ---- Attempts
   std::optional<Breach> may_send(Time now) const {
