Quota leases by customer and plan, so that no plan's state is read by another's terms

Seen: a customer whose call to the counter is out under a plan with a rate and that comes under a plan without one ends the edge node by SIGFPE; all requests that it holds are lost. Between two plans with rates, units leased for one were spent under the other.

Cause: QuotaLeaseTable kept one lease a customer, and lease_of() overwrote its plan. Windows numbered, units held and calls made under one plan were then read by the terms of another; a plan without a rate has a window of 0, and window_offset divides by it.

In a trial with a guard against the zero alone four tests fail: a plan of 2 units a window let 9 through in one window's time. So the state goes by customer and plan (LeaseId): leases, calls that are out, calls that wait. A request finds the lease of its own plan wherever it takes, returns, waits or releases; the concurrency limit counts a customer's slots over its plans.

The same fault elsewhere: plans with windows of one length shared the name of a count (names of all other plans' counts stay as they were), and a hand-over named plans by position. It now tells names and windows under one more key, "plans"; state without it is read as before. The module itself turns down settings that change plans.

--- a/include/petrelrail/handover_state.hpp
+++ b/include/petrelrail/handover_state.hpp
@@ -23,9 +23,14 @@
     bool admitted_before_lease = false;     // a request has passed before its units were leased
     bool exhausted = false;                 // the window is known to have no units left
   };
+  struct PlanWindows {  // what tells a plan's counts from those of another
+    std::string name;
+    Duration length{};  // of its windows; 0: it has no rate, and so none
+    bool operator==(const PlanWindows&) const = default;
+  };
   struct CustomerLease {
     CustomerId customer{};
-    PlanIndex plan{};
+    PlanIndex plan{};                     // position in `plans`
     WindowUnits current;                  // of the present window
     std::vector<WindowUnits> prefetched;  // of windows to come, in order
     double requested_units = 0;           // units asked for here in this window
@@ -38,6 +43,7 @@
     std::vector<Time> slot_release_times;  // when the concurrency slots in use are likely free
   };
   std::vector<CustomerLease> leases;
+  std::vector<PlanWindows> plans;  // of the settings that it ran under; empty: not told
   std::vector<EndpointId> operator_ejected;
   std::vector<std::pair<EndpointId, Time>> slow_starting;  // and since when
   std::vector<std::pair<std::string, double>> latencies;   // by class, in seconds
--- a/src/node/hot_restart.cpp
+++ b/src/node/hot_restart.cpp
@@ -71,15 +71,19 @@
                       {"called_at", nanos_of(l.last_call_time)},
                       {"places", std::move(places)}});
   }
-  return {{"leases", std::move(leases)},
-          {"latencies", s.latencies},
-          {"quickest_calls", s.fastest_calls},
-          {"call_rate", s.call_rate},
-          {"bound", s.concurrency_limit},
-          {"answers", s.recent_responses},
-          {"arrivals", s.recent_arrivals},
-          {"at", nanos_of(s.export_time)},
-          {"lost_at", nanos_of(s.counter_reset_time)}};
+  json plans = json::array();
+  for (const auto& plan : s.plans) plans.push_back({plan.name, plan.length.count()});
+  json state{{"leases", std::move(leases)},
+             {"latencies", s.latencies},
+             {"quickest_calls", s.fastest_calls},
+             {"call_rate", s.call_rate},
+             {"bound", s.concurrency_limit},
+             {"answers", s.recent_responses},
+             {"arrivals", s.recent_arrivals},
+             {"at", nanos_of(s.export_time)},
+             {"lost_at", nanos_of(s.counter_reset_time)}};
+  if (!plans.empty()) state["plans"] = std::move(plans);
+  return state;
 }
 
 HandoverState handover_state_from_json(const json& j) {
@@ -97,6 +101,10 @@
     for (const auto& t : e.at("places")) l.slot_release_times.push_back(time_of(t));
     s.leases.push_back(std::move(l));
   }
+  // A predecessor of an earlier version does not tell its plans.
+  if (const auto plans = j.find("plans"); plans != j.end())
+    for (const auto& plan : *plans)
+      s.plans.push_back({plan.at(0).get<std::string>(), Duration(plan.at(1).get<std::int64_t>())});
   j.at("latencies").get_to(s.latencies);
   j.at("quickest_calls").get_to(s.fastest_calls);
   s.call_rate = j.at("call_rate"), s.concurrency_limit = j.at("bound");
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -64,11 +64,11 @@
   state.concurrency_limit = load_balancer_.concurrency_limit();
   endpoints_.export_state(state);
   classes_->export_state(state);
-  std::map<CustomerId, std::vector<Time>> slot_releases;
+  std::map<LeaseId, std::vector<Time>> slot_releases;
   for (const auto& [id, request] : requests_) {
     if (!request.holds_slot) continue;
     const auto likely = now + from_seconds(kSlotReleaseLatencies * request.expected_latency());
-    slot_releases[request.quota.customer].push_back(std::min(request.deadline, likely));
+    slot_releases[request.quota.lease_id()].push_back(std::min(request.deadline, likely));
   }
   leases_.export_state(state, std::move(slot_releases));
   return state;
@@ -84,6 +84,7 @@
 }
 
 void Gateway::AdmissionController::on(const SettingsChanged& event) {
+  validate_change(context_.settings, *event.settings);
   context_.settings = *event.settings;
   classes_ = std::make_shared<const ClassSnapshot>(context_.settings, classes_.get());
 }
@@ -180,7 +181,7 @@
 bool Gateway::AdmissionController::take_slot(Request& request, QuotaLease& lease) {
   if (request.holds_slot) return true;
   const auto slots = leases_.concurrency_slots(request.quota, lease, request.expected_latency());
-  if (lease.slots_in_use >= slots) {
+  if (leases_.slots_of(request.quota.customer).in_use >= slots) {
     reject(request, reject_backoff(), RejectionReason::concurrency_limit);
     return false;
   }
@@ -249,9 +250,9 @@
 bool Gateway::AdmissionController::must_wait_for_slot(const Request& request) const {
   const auto limit = at(context_.settings.plans, request.quota.plan).max_concurrent;
   if (!request.holds_slot || limit >= request.quota.gateways) return false;
-  const auto* lease = leases_.find(request.quota.customer);
+  const auto* lease = leases_.find(request.quota.lease_id());
   if (!lease) return false;
-  return lease->slots_forwarded >=
+  return leases_.slots_of(request.quota.customer).forwarded >=
          leases_.concurrency_slots(request.quota, *lease, request.expected_latency());
 }
 
@@ -345,7 +346,7 @@
   if (std::exchange(request.quota.holds_units, false))
     leases_.give_back(request.quota, request.quota.units);
   timers_.set(request.id(), request.timer, Time::max());
-  auto* lease = leases_.find(request.quota.customer);
+  auto* lease = leases_.find(request.quota.lease_id());
   if (lease && request.stage == RequestStage::waiting_for_lease)
     std::erase(lease->waiting, &request.quota);
   request.stage = RequestStage::ended;
@@ -357,7 +358,7 @@
   const auto* request = find_or_null(requests_, id);
   if (!request || request->stage != RequestStage::ended || request->outstanding_attempts() > 0)
     return;
-  auto* lease = leases_.find(request->quota.customer);
+  auto* lease = leases_.find(request->quota.lease_id());
   if (lease && request->holds_slot) lease->release_slot(!request->attempts.empty());
   requests_.erase(id);
 }
--- a/src/policy/counter_rate_limiter.cpp
+++ b/src/policy/counter_rate_limiter.cpp
@@ -58,7 +58,7 @@
 }
 
 Duration CounterRateLimiter::queueing_time(double priority) const {
-  const auto ahead = std::distance(queue_.lower_bound({priority, CustomerId{}}), queue_.end());
+  const auto ahead = std::distance(queue_.lower_bound({priority, LeaseId{}}), queue_.end());
   return time_until_call(priority) + from_seconds(static_cast<double>(ahead) / rate_);
 }
 
@@ -130,12 +130,12 @@
   return queue_.rbegin()->first;
 }
 
-std::optional<CustomerId> CounterRateLimiter::pop_next() {
+std::optional<LeaseId> CounterRateLimiter::pop_next() {
   if (queue_.empty() || !may_call(queue_.rbegin()->first)) return std::nullopt;
   const auto last = std::prev(queue_.end());
-  const auto customer = last->second;
+  const auto lease = last->second;
   queue_.erase(last);
-  return customer;
+  return lease;
 }
 
 std::vector<double> CounterRateLimiter::fastest_responses() const {
--- a/src/policy/counter_rate_limiter.hpp
+++ b/src/policy/counter_rate_limiter.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "petrelrail/events.hpp"
+#include "policy/quota_lease.hpp"
 #include "policy/windowed_quota.hpp"
 
 namespace petrelrail::policy {
@@ -56,13 +57,13 @@
   void on_recovered();
   void set_gateways(double gateways) { gateways_ = gateways; }
 
-  // ---- Calls that wait for their turn, one for a customer
-  void enqueue(double priority, CustomerId customer) { queue_.insert({priority, customer}); }
-  void remove(double priority, CustomerId customer) { queue_.erase({priority, customer}); }
+  // ---- Calls that wait for their turn, one for a lease
+  void enqueue(double priority, LeaseId lease) { queue_.insert({priority, lease}); }
+  void remove(double priority, LeaseId lease) { queue_.erase({priority, lease}); }
   std::size_t queue_size() const { return queue_.size(); }
   std::optional<double> highest_priority() const;  // none: no call waits
-  // Takes the customer whose call is next; none: no call waits, or none may be made yet.
-  std::optional<CustomerId> pop_next();
+  // Takes the lease whose call is next; none: no call waits, or none may be made yet.
+  std::optional<LeaseId> pop_next();
 
   // ---- Hand-over
   std::vector<double> fastest_responses() const;  // in seconds
@@ -82,7 +83,7 @@
   // The rate below which no queue was seen: slow start lasts until then.
   double slow_start_threshold_ = std::numeric_limits<double>::infinity();
   Time refilled_{}, last_decrease_{}, down_since_{};
-  std::set<std::pair<double, CustomerId>> queue_;
+  std::set<std::pair<double, LeaseId>> queue_;
   int consecutive_failures_ = 0;
   // In a row, up to kSlowResponsesAtFloor: from then on the counter is slow by nature.
   int slow_responses_at_floor_ = 0;
--- a/src/policy/quota_lease.hpp
+++ b/src/policy/quota_lease.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <limits>
@@ -12,6 +13,20 @@
 
 using WindowUnits = HandoverState::WindowUnits;
 
+// A customer's lease under one plan. Each plan has windows and counts of its own: one that comes
+// under several plans has a lease for each.
+struct LeaseId {
+  CustomerId customer{};
+  PlanIndex plan{};
+
+  LeaseId() = default;
+  // The first plan unless another is named.
+  LeaseId(CustomerId its_customer, PlanIndex its_plan = {})
+      : customer(its_customer), plan(its_plan) {}
+
+  auto operator<=>(const LeaseId&) const = default;
+};
+
 // What a request asks of its customer's lease, and what it has of it.
 struct QuotaRequest {
   RequestId id{};
@@ -24,6 +39,13 @@
   bool settles_plan = false;   // its call also adds what its plan was admitted before it was leased
   std::int64_t window = 0;     // of the units taken
   bool holds_units = false;
+
+  LeaseId lease_id() const { return {customer, plan}; }
+};
+
+// Concurrency slots that requests hold, and how many of these are forwarded.
+struct SlotCounts {
+  std::uint32_t in_use = 0, forwarded = 0;
 };
 
 struct QuotaLease {
@@ -36,6 +58,8 @@
 
   QuotaLease() { state.current.window = std::numeric_limits<std::int64_t>::min(); }  // none yet
 
+  LeaseId id() const { return {state.customer, state.plan}; }
+
   // The units of a window, the present one or one to come.
   WindowUnits& units_of(std::int64_t window) {
     if (window == state.current.window) return state.current;
--- a/src/policy/quota_lease_table.cpp
+++ b/src/policy/quota_lease_table.cpp
@@ -27,11 +27,6 @@
 constexpr double kCountTolerance = 2e-3;  // or to thousandths: less is missing from no count
 constexpr double kMinSpan = 1e-9;         // seconds, so that nothing is divided by none
 
-CounterKey counter_key(CustomerId customer, std::int64_t window) {
-  const auto hashed_customer = mix_hash(static_cast<std::uint64_t>(customer));
-  return CounterKey(mix_hash(hashed_customer ^ static_cast<std::uint64_t>(window)) >> 1U);
-}
-
 }  // namespace
 
 struct QuotaLeaseTable::Demand {
@@ -43,18 +38,17 @@
     : context_(context),
       rate_limiter_(context.settings.counter_timeout, context.settings.fleet_size),
       quotas_(context.settings.plans.begin(), context.settings.plans.end()),
+      count_names_(context.settings.plans, quotas_),
       unsettled_units_(quotas_.size()) {}
 
 const WindowedQuota& QuotaLeaseTable::quota(PlanIndex plan) const { return at(quotas_, plan); }
 
-QuotaLease* QuotaLeaseTable::find(CustomerId customer) { return find_or_null(leases_, customer); }
+QuotaLease* QuotaLeaseTable::find(LeaseId id) { return find_or_null(leases_, id); }
 
-const QuotaLease* QuotaLeaseTable::find(CustomerId customer) const {
-  return find_or_null(leases_, customer);
-}
+const QuotaLease* QuotaLeaseTable::find(LeaseId id) const { return find_or_null(leases_, id); }
 
 QuotaLease& QuotaLeaseTable::lease_of(const QuotaRequest& request) {
-  auto& lease = leases_[request.customer];
+  auto& lease = leases_[request.lease_id()];
   lease.state.customer = request.customer;
   lease.state.plan = request.plan;
   return lease;
@@ -88,7 +82,7 @@
 }
 
 void QuotaLeaseTable::give_back(const QuotaRequest& request, double units) {
-  auto* lease = find(request.customer);
+  auto* lease = find(request.lease_id());
   if (lease && lease->state.current.window == request.window) lease->state.current.held += units;
 }
 
@@ -129,6 +123,16 @@
   return std::max(even_part, static_cast<std::uint32_t>(std::max(left, 0.0)));
 }
 
+SlotCounts QuotaLeaseTable::slots_of(CustomerId customer) const {
+  SlotCounts slots;
+  for (auto it = leases_.lower_bound(LeaseId{customer});
+       it != leases_.end() && it->first.customer == customer; ++it) {
+    slots.in_use += it->second.slots_in_use;
+    slots.forwarded += it->second.slots_forwarded;
+  }
+  return slots;
+}
+
 // ---- Calls to the counter
 
 double QuotaLeaseTable::call_priority(const QuotaRequest& request) const {
@@ -136,7 +140,7 @@
 }
 
 bool QuotaLeaseTable::has_outstanding_call(const QuotaLease& lease) const {
-  return calls_.contains(counter_key(lease.state.customer, lease.state.current.window));
+  return calls_.contains(count_names_.key(lease.id(), lease.state.current.window));
 }
 
 QuotaLeaseTable::Demand QuotaLeaseTable::demand_of(const QuotaLease& lease) const {
@@ -180,9 +184,8 @@
   }
   const auto demand = demand_of(lease);
   if (!rate_limiter_.may_call(demand.priority)) {
-    rate_limiter_.remove(std::exchange(lease.queued_priority, demand.priority),
-                         lease.state.customer);
-    rate_limiter_.enqueue(demand.priority, lease.state.customer);
+    rate_limiter_.remove(std::exchange(lease.queued_priority, demand.priority), lease.id());
+    rate_limiter_.enqueue(demand.priority, lease.id());
     return true;
   }
   const double quantum = quantum_for(lease, demand);
@@ -197,8 +200,8 @@
 }
 
 QuotaLease* QuotaLeaseTable::next_in_queue() {
-  while (const auto customer = rate_limiter_.pop_next()) {
-    auto* lease = find(*customer);
+  while (const auto id = rate_limiter_.pop_next()) {
+    auto* lease = find(*id);
     if (!lease) continue;
     lease->queued_priority = -1;
     roll_window(*lease);
@@ -215,7 +218,7 @@
   rate_limiter_.on_response(context_.now, response.outcome, response.duration);
   if (was_down != rate_limiter_.is_down())
     context_.log(was_down ? "counter answers again" : "counter held to be down");
-  auto* lease = find(call.customer);
+  auto* lease = find(call.lease);
   if (!lease) return nullptr;
   roll_window(*lease);
   if (lease->state.current.window > call.window) return lease;
@@ -262,38 +265,6 @@
   });
 }
 
-// ---- Hand-over
-
-void QuotaLeaseTable::export_state(HandoverState& state,
-                                   std::map<CustomerId, std::vector<Time>> slot_releases) {
-  handed_over_ = true;
-  state.counter_reset_time = counter_reset_;
-  state.call_rate = rate_limiter_.rate();
-  state.fastest_calls = rate_limiter_.fastest_responses();
-  for (auto& [customer, lease] : leases_) {
-    if (quota(lease.state.plan).metered) roll_window(lease);
-    state.leases.push_back(lease.state);
-    state.leases.back().slot_release_times = std::move(slot_releases[customer]);
-    lease.state.current.held = 0;
-    lease.state.current.correction = 0;
-    lease.state.prefetched.clear();
-  }
-}
-
-void QuotaLeaseTable::restore(const HandoverState& state) {
-  counter_reset_ = std::max(counter_reset_, state.counter_reset_time);
-  rate_limiter_.restore(state.call_rate, state.fastest_calls);
-  for (const auto& exported : state.leases) {
-    if (static_cast<std::size_t>(exported.plan) >= quotas_.size()) continue;
-    auto& lease = leases_[exported.customer];
-    lease.state = exported;
-    for (const auto release : exported.slot_release_times) {
-      ++lease.slots_in_use;
-      inherited_slots_.emplace(release, exported.customer);
-    }
-  }
-}
-
 // ---- Windows
 
 // Windows are staggered by customer so that their starts do not crowd the counter.
@@ -303,8 +274,12 @@
   return Duration(static_cast<Duration::rep>(hashed % length));
 }
 
+std::int64_t QuotaLeaseTable::window_at(const QuotaLease& lease, Time time) const {
+  return (time.time_since_epoch() + window_offset(lease)) / quota(lease.state.plan).window;
+}
+
 std::int64_t QuotaLeaseTable::window_at_present(const QuotaLease& lease) const {
-  return (context_.now.time_since_epoch() + window_offset(lease)) / quota(lease.state.plan).window;
+  return window_at(lease, context_.now);
 }
 
 Time QuotaLeaseTable::window_start(const QuotaLease& lease) const {
@@ -327,8 +302,8 @@
 
 void QuotaLeaseTable::call_counter(QuotaLease& lease, std::int64_t window, double quantum,
                                    double amount) {
-  const auto key = counter_key(lease.state.customer, window);
-  calls_[key] = CounterCall{lease.state.customer, window, quantum, amount};
+  const auto key = count_names_.key(lease.id(), window);
+  calls_[key] = CounterCall{lease.id(), window, quantum, amount};
   rate_limiter_.consume();
   const auto windows = window - lease.state.current.window + 1;
   const auto end = window_start(lease) + windows * quota(lease.state.plan).window;
@@ -359,7 +334,7 @@
     auto& units = lease.units_of(window);
     const double missing = quantum - units.held;
     if (units.exhausted || missing < kPrefetchStep * quantum ||
-        calls_.contains(counter_key(lease.state.customer, window)))
+        calls_.contains(count_names_.key(lease.id(), window)))
       continue;
     ++calls;
     call_counter(lease, window, missing, missing - std::exchange(units.correction, 0));
--- a/src/policy/quota_lease_table.hpp
+++ b/src/policy/quota_lease_table.hpp
@@ -1,20 +1,23 @@
-// Units leased for customers by window, the calls to the counter that lease them, and the
+// Units leased for customers by plan and window, the calls to the counter that lease them, and the
 // concurrency slots of plans that limit them.
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "petrelrail/events.hpp"
+#include "policy/count_names.hpp"
 #include "policy/counter_rate_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/quota_lease.hpp"
 
 namespace petrelrail::policy {
 
-// Invariants: units are spent only in the window they were leased in; at most one call is out for a
-// customer and window; what all gateways hold and have spent of one window never passes its limit
-// while the counter keeps count.
+// Invariants: units are spent only under the plan and in the window they were leased for; at most
+// one call is out for a lease and window; what all gateways hold and have spent of one window never
+// passes its limit while the counter keeps count.
 class QuotaLeaseTable {
  public:
   explicit QuotaLeaseTable(DecisionContext& context);
@@ -26,9 +29,9 @@
   bool empty() const { return leases_.empty(); }
   std::size_t size() const { return leases_.size(); }
   std::size_t outstanding_calls() const { return calls_.size(); }
-  QuotaLease* find(CustomerId customer);  // null: there is none
-  const QuotaLease* find(CustomerId customer) const;
-  // The lease of the request's customer, made if there is none.
+  QuotaLease* find(LeaseId id);  // null: there is none
+  const QuotaLease* find(LeaseId id) const;
+  // The lease of the request's customer under the request's plan, made if there is none.
   QuotaLease& lease_of(const QuotaRequest& request);
 
   // ---- Units
@@ -53,6 +56,8 @@
   // decide; while they are not known a request may ask. `latency` in seconds.
   std::uint32_t concurrency_slots(const QuotaRequest& request, const QuotaLease& lease,
                                   double latency) const;
+  // Slots that the customer's requests hold under all of its plans.
+  SlotCounts slots_of(CustomerId customer) const;
 
   // ---- Calls to the counter
   // What a call for it is worth: under a ceiling nothing passes without one.
@@ -81,20 +86,27 @@
   // ---- Hand-over
   // Units are held by one of the two alone. Slots that the requests here hold are likely free by
   // the times given.
-  void export_state(HandoverState& state, std::map<CustomerId, std::vector<Time>> slot_releases);
+  void export_state(HandoverState& state, std::map<LeaseId, std::vector<Time>> slot_releases);
   void restore(const HandoverState& state);
   void resume() { handed_over_ = false; }  // the successor has ended
 
  private:
   struct CounterCall {
-    CustomerId customer{};
+    LeaseId lease;
     std::int64_t window = 0;
     double quantum = 0;  // units wanted; 0: only hands back
     double amount = 0;   // what was added, corrections taken off
   };
   struct Demand;  // of all that wait for a lease
+  // Where a predecessor's plan stands in these settings; none: it is not in them.
+  struct ImportedPlan {
+    std::optional<PlanIndex> plan;
+    bool same_windows = false;  // its windows are numbered and counted as here
+  };
 
+  // ---- Windows; of leases under a plan with a rate only
   Duration window_offset(const QuotaLease& lease) const;
+  std::int64_t window_at(const QuotaLease& lease, Time time) const;
   std::int64_t window_at_present(const QuotaLease& lease) const;
   Time window_start(const QuotaLease& lease) const;
   void roll_window(QuotaLease& lease) const;
@@ -107,16 +119,21 @@
                      WindowUnits& units) const;
   void apply_response(const CounterCall& call, double total, QuotaLease& lease, WindowUnits& units);
   void record_usage(double total, const WindowUnits& units, QuotaLease& lease) const;
+  ImportedPlan import_plan(const HandoverState& state, PlanIndex exported) const;
+  // Whether the present window of an exported lease is numbered as under a plan here.
+  bool is_numbered_alike(const HandoverState::CustomerLease& exported, PlanIndex plan,
+                         Time exported_at) const;
 
   DecisionContext& context_;
   CounterRateLimiter rate_limiter_;
   std::vector<WindowedQuota> quotas_;  // by plan
-  std::map<CustomerId, QuotaLease> leases_;
+  CountNames count_names_;
+  std::map<LeaseId, QuotaLease> leases_;
   std::map<CounterKey, CounterCall> calls_;  // outstanding
   // By plan: units admitted before they were leased, not yet in any count.
   std::vector<double> unsettled_units_;
   // Slots taken by a predecessor's requests, until they are likely free.
-  std::multimap<Time, CustomerId> inherited_slots_;
+  std::multimap<Time, LeaseId> inherited_slots_;
   Time counter_reset_ = Time::min();  // when the counter was last seen to have lost counts
   bool handed_over_ = false;          // a successor has taken over
 };
