Lab: clients of a keyed class send their Idempotency-Key

Cause: FrontLink::carry builds requests of a keyed class without an Idempotency-Key; nodes reject them as malformed, as they have to.

Fix: the key is the id of the request's first try, the same for all its tries.

--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -97,6 +97,7 @@
     lab_.out_[t.id] = shared_from_this();
     const auto& s = lab_.options_.scenario;
     const bool safe = s.clients.effect == "safe";
+    const bool keyed = s.clients.effect == "keyed";
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(t.deadline - t.sent)
                         .count();
     text_ = std::string(safe ? "GET" : "POST") +
@@ -107,6 +108,7 @@
             "\r\nX-Timeout-Ms: " + std::to_string(ms) +
             "\r\nX-Quota: units=1,spread=" + std::to_string(t.spread) +
             ",first=" + std::to_string(t.first) + (t.number > 0 ? "\r\nX-Retried: 1" : "") +
+            (keyed ? "\r\nIdempotency-Key: " + hex(static_cast<std::uint64_t>(t.root)) : "") +
             (safe ? "" : "\r\nContent-Length: 0") + "\r\n\r\n";
   }
   void write() {
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -74,6 +74,27 @@
   EXPECT_GT(taken.size(), 100U);
 }
 
+Played play_clients_of(const std::string& effect) {
+  Options options;
+  options.processes = true;
+  options.program = PETRELRAIL_PROGRAM;
+  options.scenario.fleet.nodes = 2, options.scenario.fleet.seconds = 3;
+  options.scenario.clients.effect = effect;
+  options.scenario.clients.plans = {world::PlanTerms{.name = "basic"}};
+  return play(options);
+}
+
+// Guards against a client whose requests are all malformed: without an Idempotency-Key every node
+// rejected each of a keyed class, and no play of one told.
+TEST(LabClients, RequestsOfEveryEffectAreServed) {
+  constexpr double kMostOfThem = 0.5;
+  for (const auto* effect : {"safe", "keyed", "unsafe"}) {
+    const auto played = play_clients_of(effect);
+    EXPECT_EQ(soak_findings(played), std::vector<std::string>{}) << effect;
+    EXPECT_GT(played.figures["figures"]["served_share"].get<double>(), kMostOfThem) << effect;
+  }
+}
+
 TEST(SoakScenario, ASeedDrawsTheSameScenarioAgainAndAnotherOneAnother) {
   const auto first = soak_scenario({.seed = 5}), again = soak_scenario({.seed = 5}),
              other = soak_scenario({.seed = 6});
