Soak: a play that served too little or whose faults touched nothing is void, not clean

Seen: plays passed whatever they showed. A soak stopped by a signal reported every request under way as "never had an answer".

Cause: the verdict looked at findings alone, and no fault counted what it hit; a stopped play judged requests whose time was not over.

Change: World counts what each fault touches (FaultEffects); soak_void_reasons names why a play says nothing: stopped, lab late, under a fifth served, a fault that touched nothing. Stopped plays judge only what was due.

--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -175,8 +175,8 @@
   *log << number(seconds(now - begin_)) << ' ' << text << '\n';
 }
 
-Played Recorder::finish(Time now, const json& of_the_lab) {
-  rules_.pass(now + 1h);
+Played Recorder::finish(Time now, const json& of_the_lab, bool stopped) {
+  rules_.pass(stopped ? now : now + 1h);
   for (; breaches_told_ < rules_.breaches().size(); ++breaches_told_)
     figures_.breached(rules_.breaches()[breaches_told_].at);
   Played o;
@@ -231,6 +231,14 @@
   return options.processes ? play_processes(options) : play_model(options);
 }
 
+std::vector<FaultEffect> fault_effects_of(const World& world) {
+  std::vector<FaultEffect> effects;
+  const auto& faults = world.scenario().faults;
+  for (std::size_t i = 0; i < faults.size(); ++i)
+    effects.push_back({text_of(faults[i]), world.fault_effects()[i]});
+  return effects;
+}
+
 Played play_model(const Options& options) {
   Agenda agenda(kModelBegins);
   Recorder recorder(options, kModelBegins);
@@ -260,8 +268,10 @@
   recorder.views(model.views_agreed());
   auto outcome = recorder.finish(agenda.now(),
                                  {{"views_after_s", seconds(agenda.now() - end)},
-                                  {"simulated_s", seconds(agenda.now() - kModelBegins)}});
+                                  {"simulated_s", seconds(agenda.now() - kModelBegins)}},
+                                 stopped);
   outcome.stopped = stopped;
+  outcome.fault_effects = fault_effects_of(world);
   return outcome;
 }
 
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -33,6 +33,11 @@
       [](double, const world::Figures&) {};
 };
 
+struct FaultEffect {
+  std::string fault;          // in words
+  std::uint64_t touched = 0;  // nodes, servers, calls, answers, requests or entries of lists
+};
+
 struct Played {
   nlohmann::json figures;             // as written to figures.json
   std::vector<std::string> failures;  // expectations that don't hold, each with figure and bound
@@ -41,8 +46,9 @@
       node_breaches;         // rules that nodes turned a step down for, as their logs tell
   std::string crash;         // of which node, with its last log lines; empty: none
   std::string void_because;  // the lab itself ran late; empty: it did not
-  bool stopped = false;
-  int status() const;  // of the tool: 0, 1 or 3
+  bool stopped = false;      // by the caller, before its end
+  std::vector<FaultEffect> fault_effects;  // by fault of the scenario
+  int status() const;                      // of the tool: 0, 1 or 3
 };
 
 // What both carriers share: records come in, rules and figures are kept, and in the end the outcome
@@ -55,7 +61,8 @@
   void log(Time now, std::uint32_t node, const std::string& text);
   const world::Figures& figures() const { return figures_; }
   void views(double agreed) { figures_.views(agreed); }
-  Played finish(Time now, const nlohmann::json& of_the_lab);
+  // `stopped`: before the end, so that requests whose time is not over are not judged.
+  Played finish(Time now, const nlohmann::json& of_the_lab, bool stopped);
 
  private:
   void write(Time now, const world::Seen& s);
@@ -71,6 +78,8 @@
   std::vector<std::unique_ptr<std::ofstream>> logs_;
 };
 
+std::vector<FaultEffect> fault_effects_of(const world::World& world);
+
 // Throws std::runtime_error where the play can't begin.
 Played play(const Options& options);
 Played play_model(const Options& options);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -129,10 +129,10 @@
 
 // Plays the seeds one after another; each that finds something is named with what it found.
 int soak(const SoakArguments& a) {
-  std::uint32_t failed = 0;
+  std::uint32_t seeds_played = 0, with_findings = 0, void_seeds = 0;
   for (std::uint32_t i = 0; i < a.seeds && interrupted == 0; ++i) {
     Options o;
-    const SoakTerms terms{a.first_seed + i, a.nodes, a.seconds};
+    const SoakTerms terms{a.first_seed + i, a.nodes, a.seconds, true};
     o.scenario = soak_scenario(terms);
     o.seed = terms.seed, o.processes = true;
     o.program = a.program.empty() ? beside_this_program("petrelrail")
@@ -143,19 +143,27 @@
     o.stopped = [] { return interrupted != 0; };
     const auto played = play(o);
     print_summary(played);
-    std::string faults;
-    for (const auto& f : o.scenario.faults) faults += std::string(" ") + world::name_of(f.kind);
-    std::printf("  effect %s, deadline %.0f ms, wall clock %+.0f s, faults%s\n",
+    std::printf("  effect %s, deadline %.0f ms, wall clock %+.0f s\n",
                 o.scenario.clients.effect.c_str(), o.scenario.clients.deadline_ms,
-                o.scenario.system.step_s, faults.c_str());
+                o.scenario.system.step_s);
+    for (const auto& effect : played.fault_effects)
+      std::printf("  fault %s: touched %llu\n", effect.fault.c_str(),
+                  static_cast<unsigned long long>(effect.touched));
     const auto findings = soak_findings(played);
     for (const auto& f : findings)
       std::printf("  seed %llu: %s\n", static_cast<unsigned long long>(terms.seed), f.c_str());
-    failed += findings.empty() && played.void_because.empty() ? 0 : 1;
+    const auto void_reasons = soak_void_reasons(played);
+    for (const auto& reason : void_reasons)
+      std::printf("  seed %llu is void: %s\n", static_cast<unsigned long long>(terms.seed),
+                  reason.c_str());
+    with_findings += findings.empty() ? 0 : 1;
+    void_seeds += void_reasons.empty() ? 0 : 1;
+    ++seeds_played;
     std::fflush(stdout);
   }
-  std::printf("%u of %u seeds with findings, or void\n", failed, a.seeds);
-  return failed == 0 ? 0 : 1;
+  std::printf("%u of %u seeds played, %u with findings, %u void\n", seeds_played, a.seeds,
+              with_findings, void_seeds);
+  return with_findings + void_seeds == 0 && seeds_played == a.seeds ? 0 : 1;
 }
 
 // A side of a comparison: "-" (as it is), settings KEY=VALUE with commas between, or a program.
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -21,6 +21,8 @@
 constexpr double kFirstFault = 1;       // seconds after the clients begin
 constexpr Range kLasts{0.5, 4}, kShare{0.1, 0.4}, kFactor{1.5, 4};
 constexpr double kSecondsInHour = 3600;
+constexpr double kNoticeSeconds = 1.5;   // until most drains are in the list
+constexpr double kMinServedShare = 0.2;  // of the requests, or a play says too little
 
 Selector share_of(Selector::Kind kind, double share) {
   Selector selector;
@@ -49,6 +51,20 @@
   return f;
 }
 
+void add_news_for_late_lists(std::vector<Fault>& faults) {
+  std::vector<Fault> replacements;
+  for (const auto& fault : faults) {
+    if (fault.kind != FaultKind::list_late) continue;
+    Fault replaced = fault;
+    replaced.kind = FaultKind::servers_replaced;
+    replaced.who = {share_of(Selector::Kind::servers, fault.share)};
+    // Discovery notices some time after a server began to drain: while lists come late, that is.
+    replaced.at = std::max(0.0, fault.at - kNoticeSeconds);
+    replacements.push_back(replaced);
+  }
+  faults.insert(faults.end(), replacements.begin(), replacements.end());
+}
+
 WireTerms draw_wire(Dice& dice) {
   WireTerms w;
   w.long_answers = dice.between(0, 0.5), w.chunked = dice.between(0, 0.5),
@@ -86,10 +102,24 @@
   s.system = draw_system(dice);
   for (auto n = kLeastFaults + dice.below(kMostMoreFaults); n > 0; --n)
     s.faults.push_back(draw_fault(dice, terms.seconds));
+  if (terms.news_for_late_lists) add_news_for_late_lists(s.faults);
   std::ranges::sort(s.faults, {}, &Fault::at);
   return s;
 }
 
+std::vector<std::string> soak_void_reasons(const Played& played) {
+  std::vector<std::string> reasons;
+  if (played.stopped) reasons.push_back("it was stopped before its end");
+  if (!played.void_because.empty()) reasons.push_back(played.void_because);
+  const double served = played.figures.at("figures").at("served_share").get<double>();
+  if (served < kMinServedShare)
+    reasons.push_back("served " + std::to_string(served) + " of what was asked, " +
+                      std::to_string(kMinServedShare) + " at least wanted");
+  for (const auto& effect : played.fault_effects)
+    if (effect.touched == 0) reasons.push_back("a fault touched nothing: " + effect.fault);
+  return reasons;
+}
+
 std::vector<std::string> soak_findings(const Played& played) {
   auto findings = played.breaches;
   if (!played.crash.empty()) findings.push_back(played.crash);
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -16,12 +16,18 @@
   std::uint64_t seed = 1;
   std::uint32_t nodes = 24;
   double seconds = 15;
+  // Servers are replaced while lists come late, or there may be no news to be late.
+  bool news_for_late_lists = false;
 };
 
 // The scenario of a seed: terms of the parties, forms of the answers, failing system calls, and
 // faults that overlap.
 world::Scenario soak_scenario(const SoakTerms& terms);
 
+// Why a play says nothing, whatever it found: it was stopped, the lab ran late, too little was
+// served, or a fault touched nothing. Empty: it counts.
+std::vector<std::string> soak_void_reasons(const Played& played);
+
 // What is wrong after a play: broken rules, a crash, breaches that nodes counted themselves. Empty:
 // nothing.
 std::vector<std::string> soak_findings(const Played& played);
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -117,7 +117,8 @@
       works_(dice_.stream("work")),
       clients_(dice_.stream("clients")),
       discovery_dice_(dice_.stream("discovery")),
-      nodes_(scenario.fleet.nodes) {
+      nodes_(scenario.fleet.nodes),
+      effects_(scenario.faults) {
   make_servers();
   make_customers();
 }
@@ -139,8 +140,17 @@
   std::array<char, 16> id{};
   std::snprintf(id.data(), id.size(), "s-%08x",
                 static_cast<unsigned>(mix_hash(dice_.seed() + number) >> 33U) | 1U);
-  servers_.push_back(
-      {id.data(), zone, cell, PriceServer(t, speed, slots, queue), {}, 0, Time::max(), 0, 0, {}});
+  servers_.push_back({id.data(),
+                      zone,
+                      cell,
+                      PriceServer(t, speed, slots, queue),
+                      {},
+                      0,
+                      Time::max(),
+                      0,
+                      0,
+                      {},
+                      false});
   auto& s = servers_.back();
   s.listed = {number,      s.id, zone, cell, EndpointPhase::ready, std::round(speed * 10) / 10,
               std::nullopt};
@@ -354,6 +364,7 @@
   const auto node = pick_node(c);
   t.node = node.value_or(c.first);
   tries_.emplace(t.id, OpenTry{t});
+  if (before == nullptr) effects_.touched(FaultKind::burst);
   see(TrySent{t.id, t.node, t.customer, t.plan, t.units, t.spread, t.deadline, t.root, t.asked});
   agenda_.at(t.deadline, [this, id = t.id] { time_up(id); });
   if (terms.leave_share > 0) {
@@ -497,6 +508,7 @@
   see(AttemptArrived{id, node, EndpointId(server), first_byte, last_attempt_, work,
                      zone_of_node(node) != s.zone});
   attempts_.emplace(number, Attempt{node, server, id, JobId(last_attempt_)});
+  if (s.slowed) effects_.touched(FaultKind::servers_slow);
   const auto entry = nodes_[node].list.entries.find(server);
   const bool told = entry != nodes_[node].list.entries.end() && entry->second.started == s.started;
   if (s.model.push(now, work, told)) {
@@ -507,6 +519,7 @@
   }
   if (auto failing = works_.stream("error", last_attempt_);
       failing.chance(std::max(s.errors, terms.error_rate))) {
+    if (s.errors > 0) effects_.touched(FaultKind::servers_bad);
     agenda_.after(kQuickError, [this, number] { finish(number, ServerAnswer::error); });
   } else if (!s.model.arrive(now, JobId(last_attempt_), work,
                              t != nullptr ? t->deadline : Time::max())) {
@@ -529,8 +542,10 @@
   if (it == attempts_.end()) return;
   const auto a = it->second;
   if (answer == ServerAnswer::ok && spoilt_ > 0 &&
-      works_.stream("spoilt", static_cast<std::uint64_t>(number)).chance(spoilt_))
+      works_.stream("spoilt", static_cast<std::uint64_t>(number)).chance(spoilt_)) {
     answer = ServerAnswer::spoilt;
+    effects_.touched(FaultKind::answers_spoilt);
+  }
   attempts_.erase(it);
   see(AttemptOver{a.id, static_cast<std::uint64_t>(number), answer == ServerAnswer::full});
   if (network_.passes(server_party(a.server), node_party(a.node))) carrier_.answer(number, answer);
@@ -607,6 +622,7 @@
           agenda_.now() + list_late_ +
               scaled(discovery_dice_.seconds_in(scenario_.discovery.spread_ms), 1e-3));
       nodes_[n].told_at = when;
+      if (list_late_ > Duration{}) effects_.touched(FaultKind::list_late);
       agenda_.at(when, [this, n, e = s.listed, revision] {
         nodes_[n].list.revision = revision;
         tell(n, {e});
@@ -670,6 +686,11 @@
   }
   agenda_.after(counter_way(node), [this, node, call, told = std::move(told)] {
     const auto answer = counter_.call(agenda_.now(), call);
+    effects_.touched(FaultKind::counter_slow);
+    if (answer.kind == Counter::Answer::Kind::none) effects_.touched(FaultKind::counter_silent);
+    if (answer.kind == Counter::Answer::Kind::refused)
+      effects_.touched(FaultKind::counter_refusing);
+    if (answer.kind == Counter::Answer::Kind::spoilt) effects_.touched(FaultKind::counter_spoilt);
     const bool comes = answer.kind != Counter::Answer::Kind::none;
     // One that is late counts as mute: its caller no longer waits.
     const bool in_time = answer.at - agenda_.now() <
@@ -777,6 +798,13 @@
   }
 }
 
+void World::slow_server(std::uint32_t server, double factor) {
+  run_server(server);
+  servers_[server].model.slow(factor);
+  servers_[server].slowed = factor > 1;
+  wake(server);
+}
+
 void World::strike(const Fault& f, std::uint64_t number) {
   const auto text = text_of(f);
   const auto lasts = from_seconds(f.lasts);
@@ -789,6 +817,7 @@
   };
   const auto vanish = [&](const std::vector<std::uint32_t>& which) {
     for (const auto s : which) {
+      if (servers_[s].model.phase() == PriceServer::Phase::serving) effects_.add(number);
       lose_server(s, PriceServer::Phase::vanished);
       list(s, EndpointPhase::gone, discovery_dice_.seconds_in(scenario_.discovery.silent_notice_s));
     }
@@ -809,10 +838,14 @@
     };
   };
   see(FaultBegan{text});
+  effects_.begin(number);
+  const auto up = static_cast<std::uint64_t>(
+      std::ranges::count_if(nodes, [&](auto n) { return nodes_[n].life == Life::up; }));
   switch (f.kind) {
     case FaultKind::kill:
       for (const auto n : nodes) {
         if (nodes_[n].life == Life::down) continue;
+        effects_.add(number);
         carrier_.kill_node(n);
         down(n, false);
       }
@@ -824,20 +857,28 @@
       break;
     case FaultKind::restart:
       for (std::size_t i = 0; i < nodes.size(); ++i)
-        agenda_.after(spread(i), [this, n = nodes[i]] { planned_end(n); });
+        agenda_.after(spread(i), [this, n = nodes[i], number] {
+          if (nodes_[n].life == Life::up) effects_.add(number);
+          planned_end(n);
+        });
       break;
     case FaultKind::stall:
+      effects_.add(number, up);
       for (const auto n : nodes) carrier_.stall_node(n, true);
       undo = [this, nodes] {
         for (const auto n : nodes) carrier_.stall_node(n, false);
       };
       break;
     case FaultKind::reload:
+      effects_.add(number, up);
       for (const auto n : nodes) carrier_.reload_node(n, f);
       break;
     case FaultKind::upgrade:
       for (std::size_t i = 0; i < nodes.size(); ++i)
-        agenda_.after(spread(i), [this, n = nodes[i]] { carrier_.upgrade_node(n); });
+        agenda_.after(spread(i), [this, n = nodes[i], number] {
+          if (nodes_[n].life == Life::up) effects_.add(number);
+          carrier_.upgrade_node(n);
+        });
       break;
     case FaultKind::cut: {
       const auto cut = network_.cut({parties(f.who, number), parties(f.from, number), f.way != "in",
@@ -859,6 +900,7 @@
     case FaultKind::counter_silent: undo = silence(Counter::Mode::silent); break;
     case FaultKind::counter_refusing: undo = silence(Counter::Mode::refusing); break;
     case FaultKind::counter_empty:
+      effects_.add(number);
       counter_.lose_numbers(agenda_.now());
       see(CounterLost{});
       break;
@@ -885,12 +927,15 @@
       };
       break;
     case FaultKind::servers_slow:
-      for (const auto s : servers) run_server(s), servers_[s].model.slow(f.factor), wake(s);
+      for (const auto s : servers) slow_server(s, f.factor);
       undo = [this, servers] {
-        for (const auto s : servers) run_server(s), servers_[s].model.slow(1), wake(s);
+        for (const auto s : servers) slow_server(s, 1);
       };
       break;
-    case FaultKind::servers_replaced: replace(servers, lasts); break;
+    case FaultKind::servers_replaced:
+      effects_.add(number, servers.size());
+      replace(servers, lasts);
+      break;
     case FaultKind::answers_spoilt:
       spoilt_ = f.share;
       undo = [this] { spoilt_ = 0; };
@@ -905,6 +950,7 @@
       break;
     case FaultKind::list_wrong_zone: {
       const auto zones = static_cast<std::uint32_t>(scenario_.fleet.zones.size());
+      effects_.add(number, servers.size());
       for (const auto s : servers)
         list(s, EndpointPhase::ready, {}, (servers_[s].zone + 1) % zones);
       undo = [this, servers] {
@@ -919,9 +965,10 @@
       undo = [this] { peer_network_.lose(0); };
       break;
   }
-  if (f.lasts <= 0) return;
-  agenda_.after(lasts, [this, undo, text] {
+  if (f.lasts <= 0) return effects_.end(number);
+  agenda_.after(lasts, [this, undo, text, number] {
     if (undo) undo();
+    effects_.end(number);
     see(FaultEnded{text});
   });
 }
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -14,6 +14,7 @@
 
 #include "agenda.hpp"
 #include "counter.hpp"
+#include "fault_effects.hpp"
 #include "network.hpp"
 #include "peers.hpp"
 #include "price_server.hpp"
@@ -122,6 +123,8 @@
   const Try* find(TryId id) const;
   // The same, while its client waits; null too once that has gone.
   const Try* find_waiting(TryId id) const;
+  // By fault of the scenario, what it has touched so far.
+  const std::vector<std::uint64_t>& fault_effects() const { return effects_.counts(); }
   Agenda& agenda() { return agenda_; }
   const Scenario& scenario() const { return scenario_; }
 
@@ -146,6 +149,7 @@
     double errors = 0;
     std::uint32_t connections = 0;
     Entry listed;  // as discovery has it
+    bool slowed = false;
   };
   struct OpenTry {
     Try t;
@@ -205,6 +209,7 @@
   void strike(const Fault& f, std::uint64_t number);
   void lose_zone(const Fault& f);
   void replace(const std::vector<std::uint32_t>& servers, Duration over);
+  void slow_server(std::uint32_t server, double factor);
 
   Scenario scenario_;
   Dice dice_;
@@ -223,6 +228,7 @@
   std::unordered_map<AttemptNumber, Attempt> attempts_;
   std::uint64_t last_try_ = 0, last_attempt_ = 0;
   std::int64_t revision_ = 0;
+  FaultEffects effects_;
   double burst_ = 1, spoilt_ = 0;
   Duration list_late_{};
   Time began_at_{}, quiet_from_{};
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -95,6 +95,62 @@
   }
 }
 
+Played counting_play() {
+  Played played;
+  played.figures["figures"]["served_share"] = 0.5;
+  played.fault_effects = {{"kill", 2}};
+  return played;
+}
+
+TEST(SoakVoid, APlayThatShowsNothingIsVoidAndSaysWhy) {
+  EXPECT_EQ(soak_void_reasons(counting_play()).size(), 0U);
+  auto none_served = counting_play();
+  none_served.figures["figures"]["served_share"] = 0.0;
+  EXPECT_EQ(soak_void_reasons(none_served).size(), 1U);
+  auto no_effect = counting_play();
+  no_effect.fault_effects.push_back({"list_late", 0});
+  EXPECT_EQ(soak_void_reasons(no_effect),
+            std::vector<std::string>{"a fault touched nothing: list_late"});
+  auto stopped = counting_play();
+  stopped.stopped = true;
+  EXPECT_EQ(soak_void_reasons(stopped), std::vector<std::string>{"it was stopped before its end"});
+  auto late = counting_play();
+  late.void_because = "the lab itself ran late";
+  EXPECT_EQ(soak_void_reasons(late), std::vector<std::string>{"the lab itself ran late"});
+}
+
+// Requests whose time is not over when a play is stopped are no finding.
+TEST(SoakVoid, AStoppedPlayDoesNotReportRequestsUnderWay) {
+  int asked = 0;
+  Options options;
+  options.processes = true;
+  options.program = PETRELRAIL_PROGRAM;
+  options.scenario = soak_scenario({.seed = 1, .nodes = 4, .seconds = 8});
+  options.scenario.faults.clear();
+  options.stopped = [&asked] { return ++asked > 150; };  // some seconds after the start
+  const auto played = play(options);
+  EXPECT_TRUE(played.stopped);
+  EXPECT_EQ(soak_findings(played), std::vector<std::string>{});
+}
+
+// All effects, and every fault takes hold: a play that shows nothing is no pass.
+class SoakOfEveryEffect : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SoakOfEveryEffect, ServesAndIsHitByItsFaults) {
+  Options options;
+  options.seed = GetParam();
+  options.scenario = soak_scenario(
+      {.seed = GetParam(), .nodes = 12, .seconds = 8, .news_for_late_lists = true});
+  options.processes = true;
+  options.program = PETRELRAIL_PROGRAM, options.system_faults = SYSTEM_FAULTS;
+  auto played = play(options);
+  for (int again = 0; again < kPlaysAgain && !played.void_because.empty(); ++again)
+    played = play(options);
+  EXPECT_EQ(soak_void_reasons(played), std::vector<std::string>{});
+  EXPECT_EQ(soak_findings(played), std::vector<std::string>{});
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, SoakOfEveryEffect, ::testing::Values(5000, 5002, 5004));
+
 TEST(SoakScenario, ASeedDrawsTheSameScenarioAgainAndAnotherOneAnother) {
   const auto first = soak_scenario({.seed = 5}), again = soak_scenario({.seed = 5}),
              other = soak_scenario({.seed = 6});
