Members: an intake so large that a round has no length is turned down

Cause: a round is 30 datagrams' time at the intake; above 3e10 a second that is 0 ns, and begin_round and next_round divide times by it. validate() asked for a finite intake of 1 or more, no more.

Evidence: a probe that starts Members so and ticks once ended with exit 136. Now 1 to 1,000,000 datagrams a second are taken, the rest is a named error at the start. Terms.AnIntakeWhoseRoundsWouldHaveNoLengthIsTurnedDown.

--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -18,6 +18,8 @@
 // trouble. Pushes bring kPushed in each of four slots a round, a little over L/4 in all. A third of
 // L is left for what comes unevenly.
 constexpr double kRoundShare = 30;
+// Datagrams a second. A round is kRoundShare over it, and must not come to nothing.
+constexpr double kMaxIntakePerSecond = 1e6;
 constexpr int kQuick = 4;
 constexpr double kSlots = 4.5;
 constexpr std::uint32_t kPushed = 2;
@@ -83,8 +85,8 @@
   if (t.nodes < 2 || t.nodes > Terms::most_nodes())
     throw std::invalid_argument("members need 2 to " + std::to_string(Terms::most_nodes()) +
                                 " nodes");
-  if (!(t.in_per_s >= 1) || !std::isfinite(t.in_per_s))
-    throw std::invalid_argument("members need an intake of 1 datagram a second or more");
+  if (!(t.in_per_s >= 1 && t.in_per_s <= kMaxIntakePerSecond))
+    throw std::invalid_argument("members need an intake of 1 to 1000000 datagrams a second");
 }
 
 const char* name_of(Standing s) {
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -2,6 +2,7 @@
 // and what holds of any order of faults.
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <random>
 
 #include "world/member_cases.hpp"
@@ -336,6 +337,18 @@
   EXPECT_THROW(validate({.nodes = 300, .in_per_s = 0}), std::invalid_argument);
   EXPECT_THROW(Members({.nodes = 3}, {id(3), 0, 1, 1}, 1), std::invalid_argument);
 }
+// Guards against a round of no length, by which times are divided: the process ended with SIGFPE.
+TEST(Terms, AnIntakeWhoseRoundsWouldHaveNoLengthIsTurnedDown) {
+  EXPECT_THROW(validate({.nodes = 4, .in_per_s = 1e12}), std::invalid_argument);
+  EXPECT_THROW(validate({.nodes = 4, .in_per_s = std::numeric_limits<double>::infinity()}),
+               std::invalid_argument);
+  constexpr double kMost = 1e6;
+  const Time begin{1h};
+  Members members({.nodes = 4, .in_per_s = kMost}, {id(0), 0, 1, 1}, 1);
+  members.start(begin);
+  for (int i = 0; i < 100; ++i) members.tick(begin + i * 1ms);
+  EXPECT_GT(members.figures().rounds, 0U);
+}
 
 // ---- Fleets -------------------------------------------------------------------------------------
 
