Soak: a node that misses that its clients left is reported, on real processes

Need: after the lab's clients were mended, a case has to show that a node which really sends on after a leave is still reported.

Change: the library of failing system calls can hide that a peer has closed (hide_closes; no soak draws it).

--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -668,7 +668,7 @@
   };
   add("accept", s.accept), add("connect", s.connect), add("socket", s.socket), add("poll", s.poll);
   add("read", s.read), add("write", s.write), add("step_s", s.step_s),
-      add("step_after_ms", kStepAfterMs);
+      add("step_after_ms", kStepAfterMs), add("hide_closes", s.hide_closes ? 1 : 0);
   return {{"LD_PRELOAD", options_.system_faults.string()},
           {"PETRELRAIL_FAULTS", text},
           {"ASAN_OPTIONS", "verify_asan_link_order=0"}};  // of a program built with the sanitizer
--- a/lab/shim/system_faults.cpp
+++ b/lab/shim/system_faults.cpp
@@ -47,6 +47,7 @@
 // What PETRELRAIL_FAULTS says, read once.
 struct Plan {
   double accept = 0, connect = 0, socket = 0, poll = 0, read = 0, write = 0;
+  bool hide_closes = false;
   std::int64_t step_s = 0, step_after_ms = 0, started_ms = monotonic_ms();
   std::uint64_t state = 1;
 
@@ -69,6 +70,7 @@
     if (key == "poll") poll = number;
     if (key == "read") read = number;
     if (key == "write") write = number;
+    if (key == "hide_closes") hide_closes = number != 0;
     if (key == "step_s") step_s = static_cast<std::int64_t>(number);
     if (key == "step_after_ms") step_after_ms = static_cast<std::int64_t>(number);
     if (key == "seed") state = std::strtoull(value.c_str(), nullptr, 10);
@@ -113,6 +115,22 @@
   socklen_t size = sizeof type;
   return getsockopt(descriptor, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
 }
+// What a process sees that misses that its peers have closed: nothing has come yet.
+ssize_t without_close(int descriptor, ssize_t result, std::size_t wanted) {
+  if (!plan().hide_closes || result != 0 || wanted == 0 || !is_stream(descriptor)) return result;
+  errno = EAGAIN;
+  return -1;
+}
+int without_close(pollfd* descriptors, nfds_t count, int result) {
+  if (!plan().hide_closes || result <= 0) return result;
+  int ready = 0;
+  for (nfds_t i = 0; i < count; ++i) {
+    auto& events = descriptors[i].revents;
+    if ((events & POLLRDHUP) != 0) events = 0;
+    ready += events != 0 ? 1 : 0;
+  }
+  return ready;
+}
 bool interrupts() { return plan().draw() % 4 == 0; }
 
 constexpr std::array<int, 3> kAcceptErrors{ECONNABORTED, ENFILE, ENOBUFS};
@@ -147,7 +165,7 @@
 int poll(pollfd* descriptors, nfds_t count, int timeout) {
   static const auto call = real<int (*)(pollfd*, nfds_t, int)>("poll");
   if (plan().happens(plan().poll)) return plan().fail(kInterrupted);
-  return call(descriptors, count, timeout);
+  return without_close(descriptors, count, call(descriptors, count, timeout));
 }
 ssize_t recv(int descriptor, void* to, std::size_t size, int flags) {
   static const auto call = real<ssize_t (*)(int, void*, std::size_t, int)>("recv");
@@ -155,17 +173,21 @@
     if (interrupts()) return plan().fail(kInterrupted);
     size = plan().part_of(size);
   }
-  return call(descriptor, to, size, flags);
+  return without_close(descriptor, call(descriptor, to, size, flags), size);
 }
 ssize_t recvmsg(int descriptor, msghdr* message, int flags) {
   static const auto call = real<ssize_t (*)(int, msghdr*, int)>("recvmsg");
+  const auto wanted = message->msg_iovlen;
   if (!plan().happens(plan().read) || !is_stream(descriptor))
-    return call(descriptor, message, flags);
+    return without_close(descriptor, call(descriptor, message, flags), wanted);
   if (interrupts()) return plan().fail(kInterrupted);
-  return shortened(message, [&](const msghdr* less) {
-    msghdr copy = *less;
-    return call(descriptor, &copy, flags);
-  });
+  return without_close(descriptor,
+                       shortened(message,
+                                 [&](const msghdr* less) {
+                                   msghdr copy = *less;
+                                   return call(descriptor, &copy, flags);
+                                 }),
+                       wanted);
 }
 ssize_t send(int descriptor, const void* from, std::size_t size, int flags) {
   static const auto call = real<ssize_t (*)(int, const void*, std::size_t, int)>("send");
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -118,7 +118,11 @@
                       // lab/shim/system_faults.cpp
   double accept = 0, connect = 0, socket = 0, poll = 0, read = 0, write = 0;  // shares of the calls
   double step_s = 0;  // by which the wall clock is stepped a while after the start; 0: not at all
-  bool any() const { return accept + connect + socket + poll + read + write > 0 || step_s != 0; }
+  bool hide_closes = false;  // a fault of the node's, to test the rules with: it misses that a
+                             // peer has closed
+  bool any() const {
+    return accept + connect + socket + poll + read + write > 0 || step_s != 0 || hide_closes;
+  }
 };
 
 struct PriceTerms {           // WIRE, `prices`: points off the goal, each times its share or rate
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -74,6 +74,31 @@
   EXPECT_GT(taken.size(), 100U);
 }
 
+// A node that misses that its clients have closed sends on requests after they left, and that is
+// reported; the same play of a sound node is clean.
+TEST(SoakJudge, ANodeThatMissesThatItsClientsLeftIsReported) {
+  const auto play_with = [](bool hide_closes) {
+    Options options;
+    options.processes = true;
+    options.program = PETRELRAIL_PROGRAM, options.system_faults = SYSTEM_FAULTS;
+    auto& scenario = options.scenario;
+    scenario.fleet.nodes = 2, scenario.fleet.seconds = 4;
+    scenario.servers.count = 2;
+    scenario.system.hide_closes = hide_closes;
+    // More than the servers can do, so that requests wait for a place, and all clients leave.
+    auto& clients = scenario.clients;
+    clients.load = 3, clients.leave_share = 1;
+    clients.deadline_ms = 3000, clients.aim_ms = 2500;
+    clients.plans = {world::PlanTerms{.name = "basic", .rate = 100}};
+    return soak_findings(play(options));
+  };
+  const auto sent_on = [](const std::string& finding) {
+    return finding.find("was sent on after its client had left") != std::string::npos;
+  };
+  EXPECT_TRUE(std::ranges::any_of(play_with(true), sent_on));
+  EXPECT_EQ(play_with(false), std::vector<std::string>{});
+}
+
 Played play_clients_of(const std::string& effect) {
   Options options;
   options.processes = true;
