Lab: a server that came back is not held to the drain of its former life

Cause: what discovery has counts as told 6 s later, whether or not it arrived. The judge asked whether the node's list has that phase, not whether discovery still says so. Trace of node 6: told server 5 drains at 2.718, the server vanishes at 3.486 and is started anew at 4.015, told it is ready at 5.852, "told" that it drains at 7.567. The node sends to a server that is listed as ready, which is allowed; the judge was at fault.

Fix: news that later news have replaced count as told no more. The other way round too: an old "ready" no longer lifts a drain. Grace and bound are as they were.

--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -629,6 +629,9 @@
       });
       if (list_late_ > Duration{} || phase != EndpointPhase::ready)
         agenda_.after(from_seconds(scenario_.discovery.told_s), [this, n, server, phase] {
+          // Later news have taken its place: the server came back, or drains by now.
+          const bool listed_ready = servers_[server].listed.phase == EndpointPhase::ready;
+          if (listed_ready != (phase == EndpointPhase::ready)) return;
           const auto it = nodes_[n].list.entries.find(server);
           const bool knows = it == nodes_[n].list.entries.end() || it->second.phase == phase;
           if (!knows && nodes_[n].life != Life::down)
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -150,6 +150,18 @@
   for (const auto& text : played.breaches) ADD_FAILURE() << text;
   EXPECT_GT(played.figures["figures"]["unreachable"].get<double>(), 0);
 }
+// Guards against a judge that counts the drain of a server's former life as told after the server
+// has come back and is listed as ready again.
+TEST(Model, AServerThatCameBackIsNotHeldToTheDrainOfItsFormerLife) {
+  Options o;
+  o.scenario = parse_scenario(
+      "[fleet]\nnodes = 3\nseconds = 14\n[servers]\ncount = 4\ndrain_s = 14\n"
+      "[[fault]]\nkind = \"servers_replaced\"\nat = 0.5\nfor = 0.1\nwho = \"servers 0\"\n"
+      "[[fault]]\nkind = \"servers_gone\"\nat = 4\nfor = 0.5\nwho = \"servers 0\"",
+      "back.toml");
+  const auto played = play(o);
+  EXPECT_EQ(played.breaches, std::vector<std::string>{});
+}
 // What the scenario of that name holds is played on the model with all others, and below on real
 // processes.
 TEST(ScenarioFile, EveryFaultHoldsEveryKindOfFault) {
