Soak: plans of every kind, a restart in every play, open connections used until the kill

Need: no play had a plan with slots alone, a customer that turns, a request on a connection that a node leaves open after SIGTERM, or signals in series; so the process that ended on a plan without a rate was not found by any.

A play that a crash ends judges only requests that were due.

--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -234,6 +234,7 @@
 std::vector<FaultEffect> fault_effects_of(const World& world) {
   std::vector<FaultEffect> effects;
   const auto& faults = world.scenario().faults;
+  effects.reserve(faults.size());
   for (std::size_t i = 0; i < faults.size(); ++i)
     effects.push_back({text_of(faults[i]), world.fault_effects()[i]});
   return effects;
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -61,7 +61,8 @@
   void log(Time now, std::uint32_t node, const std::string& text);
   const world::Figures& figures() const { return figures_; }
   void views(double agreed) { figures_.views(agreed); }
-  // `stopped`: before the end, so that requests whose time is not over are not judged.
+  // `stopped`: before the end, by the caller or a crash, so that requests whose time is not over
+  // are not judged.
   Played finish(Time now, const nlohmann::json& of_the_lab, bool stopped);
 
  private:
--- a/lab/processes.cpp
+++ b/lab/processes.cpp
@@ -32,8 +32,9 @@
 constexpr Duration kWatchLine = 2s, kCounterIdle = 10s, kOldAddress = 1500ms;  // PROTOCOL, TERMS
 constexpr std::size_t kCounterLinks = 32;
 constexpr std::size_t kLogLines = 5;
-constexpr Duration kPiecePause = 3ms;  // between the pieces of an answer
-constexpr double kStepAfterMs = 3000;  // after the start of a process its wall clock is stepped
+constexpr Duration kBetweenSignals = 7ms;  // of a series
+constexpr Duration kPiecePause = 3ms;      // between the pieces of an answer
+constexpr double kStepAfterMs = 3000;      // after the start of a process its wall clock is stepped
 
 std::string hex(std::uint64_t n) {
   char text[17];
@@ -728,7 +729,7 @@
   n.child.reset();
   std::filesystem::remove_all(n.folder / "tmp");  // a node starts from nothing
   n.child = spawn(node, n.control);
-  n.ready = false, n.stalled = false;
+  n.ready = false, n.stalled = false, n.ending = false;
   const auto life = ++n.lives;
   ask_ready(
       node, n.listen,
@@ -748,9 +749,23 @@
 }
 
 void Processes::term_node(std::uint32_t node) {
-  if (nodes_[node].child) nodes_[node].child->signal(SIGTERM);
+  auto& n = nodes_[node];
+  if (!n.child) return;
+  n.ending = true;
+  n.child->signal(SIGTERM);
+  if (!options_.scenario.fleet.signal_series) return;
+  auto wait = kBetweenSignals;
+  for (const int number : {SIGHUP, SIGTERM, SIGHUP}) {
+    agenda_.after(wait, [this, node, life = n.lives, number] {
+      const auto& later = nodes_[node];
+      if (later.lives == life && later.child) later.child->signal(number);
+    });
+    wait += kBetweenSignals;
+  }
 }
 
+bool Processes::has_idle_connection(std::uint32_t node) const { return !nodes_[node].idle.empty(); }
+
 void Processes::stall_node(std::uint32_t node, bool stalled) {
   auto& n = nodes_[node];
   n.stalled = stalled;
@@ -897,6 +912,8 @@
     n.idle.pop_back();
     return link->go_on(t);
   }
+  // A node that ends gets no new connections.
+  if (n.ending && options_.scenario.clients.keeps_open) return world_->unreachable(t.id);
   if (n.front.size() >= options_.scenario.fleet.sockets / 3) return n.waiting.push_back(t);
   const auto link = std::make_shared<FrontLink>(*this, t.node);
   n.front.insert(link);
--- a/lab/processes.hpp
+++ b/lab/processes.hpp
@@ -43,6 +43,7 @@
   void stall_node(std::uint32_t node, bool stalled) override;
   void reload_node(std::uint32_t node, const world::Fault& fault) override;
   void upgrade_node(std::uint32_t node) override;
+  bool has_idle_connection(std::uint32_t node) const override;
   void submit(const world::Try& t) override;
   void leave(world::TryId id) override;
   void answer(world::AttemptNumber attempt, world::ServerAnswer answer) override;
@@ -63,6 +64,7 @@
     std::unique_ptr<Child> next;                  // that is to take over
     std::vector<std::unique_ptr<Child>> leaving;  // that finish what they have
     bool ready = false, stalled = false;
+    bool ending = false;  // was told to end
     std::uint64_t lives = 0;
     std::uint32_t max_attempts = 0;
     Tcp::endpoint listen, control, next_control;
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t kLeastFaults = 4, kMostMoreFaults = 5;
 constexpr double kLongestStall = 0.15;  // STANDING, "What production adds"
 constexpr double kFirstFault = 1;       // seconds after the clients begin
+constexpr Range kTurnShare{0.05, 0.5};  // of the tries, under another plan
 constexpr Range kLasts{0.5, 4}, kShare{0.1, 0.4}, kFactor{1.5, 4};
 constexpr double kSecondsInHour = 3600;
 constexpr double kNoticeSeconds = 1.5;   // until most drains are in the list
@@ -82,6 +83,26 @@
   return s;
 }
 
+void extend(Scenario& scenario, Dice dice) {
+  auto& clients = scenario.clients;
+  // No customer is at home under the last three: they are turned to.
+  PlanTerms slots_only, both, capped;
+  slots_only.name = "slots", slots_only.share = 0, slots_only.rate = 0, slots_only.open = 1;
+  both.name = "both", both.share = 0, both.rate = 4, both.open = 2;
+  capped.name = "capped", capped.share = 0, capped.rate = 6, capped.ceiling = 1.5;
+  clients.plans.insert(clients.plans.end(), {slots_only, both, capped});
+  clients.turn_share = dice.in(kTurnShare);
+  clients.keeps_open = true;
+  scenario.fleet.signal_series = dice.chance(0.5);
+  Fault restart;
+  restart.kind = FaultKind::restart;
+  restart.at = dice.between(kFirstFault, scenario.fleet.seconds / 2);
+  restart.lasts = dice.in(kLasts);
+  restart.who = {share_of(Selector::Kind::nodes, dice.in(kShare))};
+  scenario.faults.push_back(restart);
+  add_news_for_late_lists(scenario.faults);
+}
+
 }  // namespace
 
 Scenario soak_scenario(const SoakTerms& terms) {
@@ -102,7 +123,7 @@
   s.system = draw_system(dice);
   for (auto n = kLeastFaults + dice.below(kMostMoreFaults); n > 0; --n)
     s.faults.push_back(draw_fault(dice, terms.seconds));
-  if (terms.news_for_late_lists) add_news_for_late_lists(s.faults);
+  if (terms.extended) extend(s, dice.stream("extended"));
   std::ranges::sort(s.faults, {}, &Fault::at);
   return s;
 }
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -16,8 +16,10 @@
   std::uint64_t seed = 1;
   std::uint32_t nodes = 24;
   double seconds = 15;
-  // Servers are replaced while lists come late, or there may be no news to be late.
-  bool news_for_late_lists = false;
+  // More of each: plans of every kind, customers that turn between them, a restart in any case,
+  // with signals in series and clients that use open connections until the kill, and news while
+  // lists come late. Without it, what the tests' first seeds were drawn with.
+  bool extended = false;
 };
 
 // The scenario of a seed: terms of the parties, forms of the answers, failing system calls, and
--- a/src/world/figures.cpp
+++ b/src/world/figures.cpp
@@ -67,7 +67,7 @@
   add(now, s.node, Count::asked);
   if (s.plan >= plans_.size()) return;
   const auto& p = plans_[s.plan];
-  auto [it, fresh] = stores_.try_emplace(s.customer, Store{p.burst, now});
+  auto [it, fresh] = stores_.try_emplace({s.customer, s.plan}, Store{p.burst, now});
   auto& store = it->second;
   if (!fresh) store = {std::min(p.burst, store.held + p.rate * seconds(now - store.at)), now};
   const bool fits = p.rate <= 0 || store.held >= s.units;
--- a/src/world/figures.hpp
+++ b/src/world/figures.hpp
@@ -127,7 +127,8 @@
     double held = 0;
     Time at{};
   };
-  std::unordered_map<CustomerId, Store> stores_;  // of one gateway that sees all first tries
+  // By customer and plan, of one gateway that sees all first tries.
+  std::map<std::pair<CustomerId, std::uint32_t>, Store> stores_;
   std::map<std::uint32_t, Spent> spent_, before_;
   std::map<std::uint32_t, std::pair<std::size_t, std::uint64_t>>
       in_;  // the last second and what came in it
--- a/src/world/rules.cpp
+++ b/src/world/rules.cpp
@@ -188,8 +188,7 @@
   if (o.left != Time::max() && s.first_byte > o.left + terms_.left_slack)
     breach(now, "one final answer", text(s.id) + " was sent on after its client had left");
   if (!o.counted) check_quota(now, o);
-  auto& c = customers_[o.sent.customer];
-  ++c.out;
+  ++attempts_out_[o.sent.customer];
   o.attempts.push_back({s.server, s.attempt, s.first_byte, true, false});
 }
 
@@ -199,8 +198,8 @@
   const auto a = std::ranges::find(it->second.attempts, s.attempt, &Sent::attempt);
   if (a == it->second.attempts.end() || !a->out) return;
   a->out = false, a->never_ran = s.never_ran;
-  auto& c = customers_[it->second.sent.customer];
-  if (c.out > 0) --c.out;
+  auto& out = attempts_out_[it->second.sent.customer];
+  if (out > 0) --out;
 }
 
 void Rules::on(Time now, const ServerTold& s) {
@@ -236,7 +235,7 @@
   units_ += units;
   if (o.sent.plan >= terms_.plans.size()) return;
   const auto& p = terms_.plans[o.sent.plan];
-  auto& c = customers_[o.sent.customer];
+  auto& c = customer_plans_[{o.sent.customer, o.sent.plan}];
   const double window = p.burst + (p.ceiling_rate > 0 ? 0 : o.sent.spread * units),
                most = 2 * window;
   if (!std::exchange(c.begun, true)) {
@@ -268,7 +267,8 @@
     }
   }
   const double level = p.rate > 0 ? c.quota.level(now, p.rate, p.burst) : units;
-  o.inside = level >= units - kSame && (p.max_concurrent == 0 || c.out < p.max_concurrent);
+  o.inside = level >= units - kSame &&
+             (p.max_concurrent == 0 || attempts_out_[o.sent.customer] < p.max_concurrent);
   if (o.inside)
     c.quota = {level - units, now};
   else
--- a/src/world/rules.hpp
+++ b/src/world/rules.hpp
@@ -58,10 +58,9 @@
     Time at{};
     double level(Time now, double rate, double most) const;
   };
-  struct Customer {
+  struct CustomerPlan {  // each of a customer's plans has quotas of its own
     Store quota, ceiling, windows;
     bool begun = false;
-    std::uint32_t out = 0;
     std::uint64_t losses = 0;  // of the counter's numbers that its windows were given anew for
   };
   struct Sent {  // one attempt
@@ -116,7 +115,8 @@
   std::map<std::pair<std::uint32_t, EndpointId>, Told> told_;
   std::map<std::uint32_t, Time> down_at_;  // when a node last ended
   std::map<EndpointId, Where> where_;
-  std::unordered_map<CustomerId, Customer> customers_;
+  std::map<std::pair<CustomerId, std::uint32_t>, CustomerPlan> customer_plans_;
+  std::unordered_map<CustomerId, std::uint32_t> attempts_out_;
   std::uint64_t losses_ = 0;
   std::vector<Breach> breaches_;
   double units_ = 0, beyond_ = 0;
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -21,6 +21,7 @@
   double start_s = 0.05;                          // model: from a node's start until it can serve
   double term_s = 3.7;                            // from SIGTERM to SIGKILL: PROTOCOL, "Figures"
   std::uint64_t memory_mb = 192, sockets = 1024;
+  bool signal_series = false;   // more SIGHUP and SIGTERM right behind SIGTERM; processes alone
   std::string members = "off";  // or "on", "pace": as the program's --members
 };
 
@@ -95,7 +96,10 @@
   double patience_ms = 500;     // beyond its time; then the client closes: the request is lost
   std::string effect = "safe";  // "safe", "keyed" or "unsafe"
   double
-      leave_share = 0;  // of the tries whose client closes its connection before its time is over
+      leave_share = 0;    // of the tries whose client closes its connection before its time is over
+  double turn_share = 0;  // of the tries that come under another of the plans; processes alone
+  bool keeps_open = false;  // connections that a node leaves open after SIGTERM are used until the
+                            // kill; processes alone
   std::vector<PlanTerms> plans;
 };
 
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -333,27 +333,42 @@
   }
   double all = 0;
   for (std::uint32_t i = 0; i < c.spread; ++i)
-    if (nodes_[(c.first + i) % nodes].front_sees) all += c.weights[i];
+    if (takes_requests((c.first + i) % nodes)) all += c.weights[i];
   if (all <= 0) return std::nullopt;
   double at = clients_.part() * all;
   std::optional<std::uint32_t> last;
   for (std::uint32_t i = 0; i < c.spread; ++i) {
     const auto n = (c.first + i) % nodes;
-    if (!nodes_[n].front_sees) continue;
+    if (!takes_requests(n)) continue;
     last = n;
     if ((at -= c.weights[i]) < 0) break;
   }
   return last;
 }
 
+// Clients may send on what a node leaves open after SIGTERM, until it is killed.
+bool World::takes_requests(std::uint32_t node) const {
+  if (nodes_[node].front_sees) return true;
+  return scenario_.clients.keeps_open && nodes_[node].life == Life::ending &&
+         carrier_.has_idle_connection(node);
+}
+
+std::uint32_t World::pick_plan(const Customer& c, TryId id) const {
+  const double share = scenario_.clients.turn_share;
+  if (share <= 0) return c.plan;
+  auto dice = dice_.stream("turn", static_cast<std::uint64_t>(id));
+  if (!dice.chance(share)) return c.plan;
+  return static_cast<std::uint32_t>(dice.below(plans_.size()));
+}
+
 void World::ask(std::size_t customer, const Try* before) {
   auto& c = customers_[customer];
   const auto& terms = scenario_.clients;
   const Time now = agenda_.now();
   Try t;
   t.id = TryId(mix_hash(dice_.seed() ^ mix_hash(++last_try_)));
-  t.customer = c.id, t.asker = customer, t.plan = c.plan, t.first = c.first, t.spread = c.spread,
-  t.sent = now;
+  t.customer = c.id, t.asker = customer, t.plan = pick_plan(c, t.id), t.first = c.first,
+  t.spread = c.spread, t.sent = now;
   if (before != nullptr) {
     t.root = before->root, t.number = before->number + 1, t.asked = before->asked,
     t.last = before->last;
--- a/src/world/world.hpp
+++ b/src/world/world.hpp
@@ -55,6 +55,8 @@
   virtual void stall_node(std::uint32_t node, bool stalled) = 0;
   virtual void reload_node(std::uint32_t node, const Fault& fault) = 0;
   virtual void upgrade_node(std::uint32_t node) = 0;
+  // Whether clients have a connection to it that carries no request.
+  virtual bool has_idle_connection(std::uint32_t) const { return false; }
   virtual void submit(
       const Try& t) = 0;             // one of the calls under "what came of a try" follows, or none
   virtual void leave(TryId id) = 0;  // the client closes its connection
@@ -181,6 +183,8 @@
   void next_arrival(std::size_t customer);
   double rate_now(const Customer& c, Time at) const;
   std::optional<std::uint32_t> pick_node(Customer& c);
+  std::uint32_t pick_plan(const Customer& c, TryId id) const;
+  bool takes_requests(std::uint32_t node) const;
   void ask(std::size_t customer, const Try* before);
   void leave(TryId id);
   void time_up(TryId id);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -165,7 +165,7 @@
   Options options;
   options.seed = GetParam();
   options.scenario = soak_scenario(
-      {.seed = GetParam(), .nodes = 12, .seconds = 8, .news_for_late_lists = true});
+      {.seed = GetParam(), .nodes = 12, .seconds = 8, .extended = true});
   options.processes = true;
   options.program = PETRELRAIL_PROGRAM, options.system_faults = SYSTEM_FAULTS;
   auto played = play(options);
