--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -16,7 +16,7 @@
     FaultKind::servers_slow,   FaultKind::servers_gone,   FaultKind::servers_replaced,
     FaultKind::answers_spoilt, FaultKind::burst,          FaultKind::list_late};
 constexpr std::array kEffects{"safe", "keyed", "unsafe"};
-constexpr std::uint64_t kLeastFaults = 4, kMostMoreFaults = 5;
+constexpr std::uint64_t kMinFaults = 4, kMaxExtraFaults = 5;
 constexpr double kLongestStall = 0.15;  // STANDING, "What production adds"
 constexpr double kFirstFault = 1;       // seconds after the clients begin
 constexpr Range kTurnShare{0.05, 0.5};  // of the tries, under another plan
@@ -121,7 +121,7 @@
   s.servers.error_rate = dice.between(0, 0.02);
   s.wire = draw_wire(dice);
   s.system = draw_system(dice);
-  for (auto n = kLeastFaults + dice.below(kMostMoreFaults); n > 0; --n)
+  for (auto n = kMinFaults + dice.below(kMaxExtraFaults); n > 0; --n)
     s.faults.push_back(draw_fault(dice, terms.seconds));
   if (terms.extended) extend(s, dice.stream("extended"));
   std::ranges::sort(s.faults, {}, &Fault::at);
