--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,4 +35,5 @@
 cmake --build build-asan -j "$jobs"
 ctest --test-dir build-asan --output-on-failure -j "$jobs" -E "^(${red:-none})\$"
 
-if [ -n "$red" ]; then echo "known red, passed over:" && cat KNOWN-RED.txt; else echo "known red: none"; fi
+if [ -n "$red" ]; then echo "known red, passed over: $red"; fi
+if [ -s KNOWN-RED.txt ]; then echo "known red, the list:" && cat KNOWN-RED.txt; else echo "known red: none"; fi
