--- a/include/petrelrail/handover_state.hpp
+++ b/include/petrelrail/handover_state.hpp
@@ -26,7 +26,6 @@
   struct PlanWindows {  // what tells a plan's counts from those of another
     std::string name;
     Duration length{};  // of its windows; 0: it has no rate, and so none
-    bool operator==(const PlanWindows&) const = default;
   };
   struct CustomerLease {
     CustomerId customer{};
