Review: a fault of a case itself counts as not run

A case ends with 2 when its own stand-ins fail, when too little was served to judge, on a signal, or after 115 s; it ends the edge node in each of these.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
-from standins import Agent, Counter, PriceServer, Reader, answer, connect, head_of, new_id, request_class, run_case
+from standins import Agent, CannotRun, Counter, PriceServer, Reader, answer, connect, head_of, new_id, request_class, run_case
 
 REQUESTS = 6  # of each client, one after another
 CLIENTS = 4
@@ -45,14 +45,17 @@
             request_id, status, got, whole = new_id(), "none", b"", False
             with connect(address, 20) as connection:
                 reader = Reader(connection)
-                connection.sendall(head_of("POST", NAME, request_id, 100 + number, TIMEOUT_MS,
-                                           "Content-Length: %d\r\n" % BODY_BYTES))
                 start, sent = time.monotonic(), 0
-                while sent < BODY_BYTES:
-                    connection.sendall(b"b" * 4096)
-                    sent += 4096
-                    if trouble:
-                        time.sleep(max(0, start + sent / BYTES_PER_S - time.monotonic()))
+                try:
+                    connection.sendall(head_of("POST", NAME, request_id, 100 + number, TIMEOUT_MS,
+                                               "Content-Length: %d\r\n" % BODY_BYTES))
+                    while sent < BODY_BYTES:
+                        connection.sendall(b"b" * 4096)
+                        sent += 4096
+                        if trouble:
+                            time.sleep(max(0, start + sent / BYTES_PER_S - time.monotonic()))
+                except OSError as x:  # an answer may have come before
+                    record("client %d: %s is written up to %d bytes: %s" % (number, request_id, sent, x))
                 last_byte = time.monotonic()
                 record("client %d: %s is written, in %.2f s" % (number, request_id, last_byte - start))
                 try:
@@ -79,6 +82,8 @@
         t.join()
     record("answers to clients: %s" % counts)
     print("answers to clients: %s" % counts)
+    if not any(key.startswith("200") for key in counts):
+        raise CannotRun("no request was served")
     return breaks
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -15,6 +15,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+MOST_SECONDS = 115  # of a case
 
 
 class CannotRun(Exception):
@@ -379,6 +380,17 @@
     record("the disruption is " + ("on" if trouble else "off"))
     platform = Platform(record)
     status = CANNOT_RUN
+
+    def give_up(reason):
+        record("the case could not run: " + reason)
+        platform.end()
+        os._exit(CANNOT_RUN)
+
+    watchdog = threading.Timer(MOST_SECONDS, give_up, ["it took too long"])
+    watchdog.daemon = True
+    watchdog.start()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda received, _: give_up("signal %d came" % received))
     try:
         breaks = case(record, platform, trouble)
         if platform.crashed():
@@ -390,11 +402,11 @@
         if len(breaks) > 3:
             print("broken: %d times in all, see record.txt" % len(breaks))
         status = BROKEN if breaks else HELD
-    except CannotRun as x:
-        record("the case could not run: %s" % x)
-        print("the case could not run: %s" % x)
-    finally:
-        platform.end()
-        record("exit %d" % status)
+    except Exception as x:  # also a fault of the case itself: it says nothing about the edge node
+        record("the case could not run: %r" % x)
+        print("the case could not run: %r" % x)
+    watchdog.cancel()
+    platform.end()
+    record("exit %d" % status)
     sys.stdout.flush()
     os._exit(status)
