A request's time counts from its last byte, however its body arrives

Callers saw the answer to a long request cut off (200, a part of the body, the end of the connection) where they had written the request for longer than they wait for its answer.

Cause: read_request ran at the header of a request with a long body and counted its time from there; nothing told the node, the invariants or the decision module that the last byte had arrived. UpstreamConnection::arm_stall_timer then took the end of the answer from a deadline that had passed before the answer began.

Evidence: the log said reason=stalled, which leaves two limits; a trial that logged each arming of the timer showed, for a request written in 4.00 s with a timeout of 2 s, the client's deadline 2,060 ms past, the attempt's 1,897 ms ahead and the timer due in 0 ms after the first 20,438 bytes of a sound answer.

Change: src/policy/request_deadline.hpp states when the last byte has arrived for each form of a body, and the deadlines that follow: end of an unfinished answer, of a body that a server doesn't take, what servers are told. A request with a long body has no deadline before its last byte; HttpSession::check_last_byte tells it, also where the rest lies unread in the socket. The decision module learns it by RequestReceived: attempts and retries have the whole time until then, and a hand-over keeps the slot. Overdue requests with long bodies are answered too.

--- a/include/petrelrail/actions.hpp
+++ b/include/petrelrail/actions.hpp
@@ -13,7 +13,7 @@
 struct Send {
   RequestId request{};
   EndpointId endpoint{};
-  Duration timeout{};
+  Duration timeout{};  // counts from the request's last byte if that has not arrived yet
   // Latest time for the attempt's first byte, on the clock of events. Past it the attempt is not
   // sent.
   Time start_deadline = Time::max();
--- a/include/petrelrail/events.hpp
+++ b/include/petrelrail/events.hpp
@@ -42,6 +42,15 @@
   std::uint32_t gateways = 1;  // number of gateways that serve this customer
   bool is_retry = false;
   bool best_effort = false;  // yields to all other requests where capacity is short
+  // The request's body is still arriving, and is forwarded while it arrives. `time_left` counts
+  // from its last byte, which RequestReceived reports.
+  bool body_pending = false;
+};
+
+// The last byte of a request that was reported with `body_pending` has arrived.
+struct RequestReceived {
+  RequestId request{};
+  Duration time_left{};  // until the client gives up on this attempt
 };
 
 enum class AttemptOutcome {
@@ -131,7 +140,7 @@
 
 using Event = std::variant<EndpointListUpdate, RequestArrived, AttemptEnded, HealthCheckEnded,
                            TimerDue, ClientDisconnected, CounterResponse, CounterRecovered,
-                           TimeAdvanced, FleetView, OperatorEjection, SettingsChanged,
-                           RestoreState>;
+                           TimeAdvanced, FleetView, OperatorEjection, SettingsChanged, RestoreState,
+                           RequestReceived>;
 
 }  // namespace petrelrail
--- a/src/node/client_request.hpp
+++ b/src/node/client_request.hpp
@@ -9,6 +9,7 @@
 
 #include "petrelrail/events.hpp"
 #include "petrelrail/settings.hpp"
+#include "policy/request_deadline.hpp"
 #include "request_body_stream.hpp"
 
 namespace petrelrail {
@@ -17,7 +18,7 @@
 
 struct ClientRequest {
   RequestArrived arrival;  // Node sets its number
-  Time deadline{};
+  policy::RequestDeadline deadline;
   http::verb method{};
   std::string target, request_id, idempotency_key, content_type, body;
   std::shared_ptr<RequestBodyStream> body_stream;  // the rest of a long body
@@ -31,6 +32,11 @@
   bool has_body() const {
     return method == http::verb::post || method == http::verb::put || method == http::verb::options;
   }
+  // The earliest that the response may be due, as far as this node can tell.
+  Time earliest_deadline() const {
+    return deadline.earliest_time(body_stream ? body_stream->last_byte_hidden_since()
+                                              : std::nullopt);
+  }
   const RequestClass& request_class() const {
     return settings->classes.at(static_cast<std::size_t>(arrival.request_class));
   }
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -35,13 +35,10 @@
 
 void HttpSession::read() {
   if (read_pending_ || is_closed()) return;
-  if (body_stream_ && body_stream_->is_full()) {
-    if (reading_paused_time_ == Time{}) reading_paused_time_ = server_.timers_.now();
-    return;
-  }
+  if (body_stream_ && body_stream_->is_full())
+    return body_stream_->pause_reading(server_.timers_.now());
   // The time during which the body buffer was full does not count against the client.
-  if (const auto paused = std::exchange(reading_paused_time_, {}); paused != Time{})
-    request_started_time_ += server_.timers_.now() - paused;
+  if (body_stream_) request_started_time_ += body_stream_->resume_reading(server_.timers_.now());
   read_pending_ = true;
   socket_.async_read_some(
       buffer_.prepare(body_stream_ ? limits::kStreamChunkBytes : limits::kReadBufferBytes),
@@ -124,6 +121,8 @@
 // Appends to the body of a request that is already being forwarded.
 void HttpSession::on_body_data() {
   if (!feed_parser()) return;
+  check_last_byte();
+  if (!body_stream_) return;  // the request was answered
   auto& body = parser_->get().body();
   const auto stream = body_stream_;
   if (parser_->is_done()) body_stream_.reset();
@@ -133,6 +132,20 @@
   stream->finish();
 }
 
+bool HttpSession::body_has_arrived() const {
+  if (parser_->is_done()) return true;
+  const auto missing = parser_->content_length_remaining();
+  error_code failed;
+  return missing && socket_.available(failed) >= *missing && !failed;
+}
+
+void HttpSession::check_last_byte() {
+  if (!body_stream_ || last_byte_arrived_ || request_number_ == 0 || !body_has_arrived()) return;
+  last_byte_arrived_ = true;
+  server_.callbacks_.on_request_received(request_number_);
+  if (body_stream_) body_stream_->on_last_byte();
+}
+
 void HttpSession::on_request_parsed() {
   const bool is_complete = parser_->is_done();
   auto& head = parser_->get().base();
@@ -150,7 +163,7 @@
     });
   }
   const auto stream = body_stream_;
-  request_started_ = awaits_first_request_ = false;
+  request_started_ = awaits_first_request_ = last_byte_arrived_ = false;
   keep_alive_ = message.keep_alive();
   request_id_.clear();
   is_head_request_ = message.method() == http::verb::head;
@@ -165,7 +178,7 @@
                   {}});
   }
   try {
-    auto request = read_request(message, server_.settings_, server_.timers_.now());
+    auto request = read_request(message, server_.settings_, server_.timers_.now(), !is_complete);
     server_.shorten_deadline(request);
     if (stream) {
       stream->append(std::exchange(request.body, {}));
@@ -174,6 +187,7 @@
     request_id_ = request.request_id;
     const auto number = server_.callbacks_.on_request(std::move(request), shared_from_this());
     if (state_ == State::waiting) request_number_ = number;
+    check_last_byte();
   } catch (const RequestError& x) {
     ++server_.rejected_requests_[static_cast<unsigned>(x.status)];
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
@@ -385,6 +399,7 @@
 }
 
 void HttpSession::sweep(Time now) {
+  check_last_byte();  // it may have arrived while reading is paused
   if (state_ == State::streaming && !write_pending_) return;  // waits for the server
   if (state_ == State::waiting && body_stream_ && read_pending_ &&
       now - request_started_time_ >= request_timeout())
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -70,6 +70,10 @@
   bool feed_parser();
   void on_request_parsed();
   void on_body_data();
+  // Whether all that the length of a long body still announces has arrived, read or not.
+  bool body_has_arrived() const;
+  // Starts the time of a request with a long body once its last byte has arrived.
+  void check_last_byte();
   // Answers a request that can't be parsed, or is too long or too slow, and ends the session.
   void reject(http::status status, const std::string& message);
   void write(const Response& response);
@@ -89,14 +93,14 @@
   std::function<void()> on_chunk_written_;
   State state_ = State::reading;
   Time opened_time_{}, last_received_time_{};
-  Time request_started_time_{},
-      reading_paused_time_{};                       // paused: set while the body buffer is full
+  Time request_started_time_{};
   std::shared_ptr<RequestBodyStream> body_stream_;  // of a forwarded request that is still read
   std::size_t request_bytes_ = 0;                   // received since the request began
   // When the state was entered, a request's first byte was read, or bytes were last written.
   Time last_progress_time_{};
   bool awaits_first_request_ = true;
-  bool request_started_ = false;  // a part of a request was read
+  bool request_started_ = false;    // a part of a request was read
+  bool last_byte_arrived_ = false;  // of the request in flight, if its body is long
   bool read_pending_ = false;
   bool write_pending_ = false;
   bool response_is_chunked_ = false;  // a streamed response uses chunked coding
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -376,7 +376,7 @@
   a.gateways = settings_->fleet_size;
   a.time_left = cls->deadline;
   a.best_effort = true;
-  r.deadline = timers_.now() + cls->deadline;
+  r.deadline = policy::RequestDeadline::running(timers_.now(), cls->deadline);
   r.method = cls->idempotency == Idempotency::idempotent ? http::verb::get : http::verb::post;
   r.target = spec.path_of(line.index);
   r.request_id = format_request_id(line.request_id);
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -53,8 +53,11 @@
 inline constexpr Duration kMaxResponseBufferTime = 300ms;
 // Of a streamed body, in either direction.
 inline constexpr std::size_t kStreamChunkBytes = 16 * 1024;
-// A streamed response of which nothing arrives for this long is aborted.
+// A streamed body of which nothing arrives, or nothing is taken, for this long is aborted.
 inline constexpr Duration kStreamStallTimeout = 10s;
+// Upper bound of what the sockets of a client and of this node hold together; Linux's default
+// limits are 4 MiB and 6 MiB.
+inline constexpr std::uint64_t kMaxSocketBufferBytes = 16ULL << 20U;
 // Of a message's header; a request with a longer one is answered 431.
 inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
 // Memory reserved for the header of a response.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -388,14 +388,26 @@
   const policy::RequestPolicy request_policy{cls.idempotency, cls.deduplication_window,
                                              request.deadline, request.settings->max_attempts};
   open_requests_.emplace(
-      id, OpenRequest{std::move(sink), std::make_shared<const ClientRequest>(std::move(request)),
-                      &counts, policy::RequestState(request_policy)});
+      id, OpenRequest{std::move(sink), std::make_shared<ClientRequest>(std::move(request)), &counts,
+                      policy::RequestState(request_policy)});
   ++unanswered_requests_;
   schedule_overdue_check();
   handle_event(arrival);
   return static_cast<std::uint64_t>(id);
 }
 
+// The time of a request whose body is forwarded while it arrives counts from now on.
+void Node::on_request_received(std::uint64_t request) {
+  const RequestId id{request};
+  const auto it = open_requests_.find(id);
+  if (it == open_requests_.end()) return;
+  const Time now = timers_.now();
+  auto& deadline = it->second.request_message->deadline;
+  if (!deadline.on_last_byte(now)) return;
+  it->second.state.on_received(now);
+  handle_event(RequestReceived{id, deadline.time_left(now)});
+}
+
 void Node::on_client_disconnected(std::uint64_t request) {
   const RequestId id{request};
   const auto it = open_requests_.find(id);
@@ -605,11 +617,12 @@
     log::request(
         "node", attempt > 0 ? "sent again" : "sent",
         {{"request", open.request_message->request_id}, {"attempt", std::to_string(attempt)}});
+  const auto& deadline = open.request_message->deadline;
   upstream_.send({action.request,
                   attempt,
                   action.endpoint,
                   now,
-                  now + action.timeout,
+                  deadline.is_running() ? now + action.timeout : deadline.time(),
                   open.request_message,
                   {},
                   {},
@@ -700,8 +713,7 @@
   const Time now = timers_.now();
   std::vector<RequestId> overdue;
   for (const auto& [id, open] : open_requests_)
-    if (open.response_sink && !open.request_message->body_stream &&
-        open.state.is_overdue(now, limits::kOverdueTolerance))
+    if (open.response_sink && open.state.is_overdue(now, limits::kOverdueTolerance))
       overdue.push_back(id);
   for (const auto id : overdue) {
     on_invariant_violation(policy::InvariantViolation::response_overdue,
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -70,13 +70,14 @@
   struct OpenRequest {
     // None after the final response or once the client has disconnected.
     std::shared_ptr<ResponseSink> response_sink;
-    std::shared_ptr<const ClientRequest> request_message;
+    std::shared_ptr<ClientRequest> request_message;
     Metrics::ResponseCounts* response_counts = nullptr;  // of its class
     policy::RequestState state;
   };
 
   bool is_ready() override;
   std::uint64_t on_request(ClientRequest request, std::shared_ptr<HttpSession> session) override;
+  void on_request_received(std::uint64_t request) override;
   void on_client_disconnected(std::uint64_t request) override;
   bool can_lend_descriptor() const override;
   bool lend_descriptor() override;
--- a/src/node/request_body_stream.hpp
+++ b/src/node/request_body_stream.hpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "limits.hpp"
+#include "petrelrail/types.hpp"
 
 namespace petrelrail {
 
@@ -19,13 +20,31 @@
   explicit RequestBodyStream(std::optional<std::uint64_t> length) : length_(length) {}
 
   // Used by the session. The capacity callback is called when more may be appended.
-  void append(std::string_view chunk) { buffered_.append(chunk), notify(on_data_); }
+  void append(std::string_view chunk) {
+    buffered_.append(chunk);
+    received_bytes_ += chunk.size();
+    notify(on_data_);
+  }
+  // The last byte has arrived, though it may not have been appended yet.
+  void on_last_byte() { notify(on_data_); }
   void finish() { complete_ = true, notify(on_data_); }
   void abort() { aborted_ = true, notify(on_data_); }
   bool is_full() const { return buffered_.size() >= limits::kStreamChunkBytes; }
+  // While the stream is full, the session reads nothing from its client.
+  void pause_reading(Time now) {
+    if (reading_paused_time_) return;
+    reading_paused_time_ = now;
+    notify(on_data_);
+  }
+  // Returns for how long reading was paused.
+  Duration resume_reading(Time now) {
+    const auto paused = std::exchange(reading_paused_time_, std::nullopt);
+    return paused ? now - *paused : Duration{};
+  }
   void set_capacity_callback(std::function<void()> callback) { on_capacity_ = std::move(callback); }
 
-  // Used by the connection. The data callback is called for each chunk, the end, and an abort.
+  // Used by the connection. The data callback is called for each chunk, the end, a pause of reading
+  // and an abort.
   std::string drain_chunk() {
     consumed_ = true;
     auto chunk = std::exchange(buffered_, {});
@@ -36,6 +55,11 @@
   std::optional<std::uint64_t> length() const { return length_; }
   bool complete() const { return complete_; }
   bool aborted() const { return aborted_; }
+  // Since when reading is paused, if the last byte may lie unread in the sockets' buffers.
+  std::optional<Time> last_byte_hidden_since() const {
+    const bool fits = !length_ || *length_ - received_bytes_ <= limits::kMaxSocketBufferBytes;
+    return fits ? reading_paused_time_ : std::nullopt;
+  }
   // A part was drained, so the body can't be sent a second time.
   bool consumed() const { return consumed_; }
 
@@ -46,7 +70,9 @@
   }
 
   std::optional<std::uint64_t> length_;  // none: unknown
+  std::uint64_t received_bytes_ = 0;
   std::string buffered_;
+  std::optional<Time> reading_paused_time_;
   std::function<void()> on_capacity_, on_data_;
   bool complete_ = false, aborted_ = false, consumed_ = false;
 };
--- a/src/node/request_reader.hpp
+++ b/src/node/request_reader.hpp
@@ -22,8 +22,9 @@
   http::status status;
 };
 
-// Moves the body out of `message`. Throws RequestError, whose text names the field.
+// Moves the body out of `message`. With `body_pending` the rest of the body is still to come, and
+// the request's time does not count yet. Throws RequestError, whose text names the field.
 ClientRequest read_request(ParsedRequest& message, std::shared_ptr<const Settings> settings,
-                           Time now);
+                           Time now, bool body_pending);
 
 }  // namespace petrelrail
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -96,7 +96,9 @@
   const auto it = endpoints_.find(e.endpoint);
   if (it == endpoints_.end() || !accepts_requests(it->second)) return false;
   if (timers_.now() >= std::min(e.deadline, e.start_deadline)) return false;
-  return !e.request_message || callbacks_.is_still_wanted(e.request);
+  if (!e.request_message) return true;
+  return timers_.now() < e.request_message->earliest_deadline() &&
+         callbacks_.is_still_wanted(e.request);
 }
 
 void Upstream::report_end(const UpstreamExchange& exchange, AttemptOutcome outcome,
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -96,7 +96,8 @@
   if (incarnation_ != pool_.incarnation() || !upstream_.can_start(*exchange_))
     return complete_exchange(AttemptOutcome::never_sent, AttemptEndReason::not_started, {});
   const Time now = upstream_.timers_.now();
-  arm_deadline_timer();
+  if (const auto& message = exchange_->request_message)
+    exchange_->deadline = std::min(exchange_->deadline, message->deadline.time());
   write_head(now);
   reset_parser();
   receive_count_at_start_ = pool_.receive_count();
@@ -106,6 +107,7 @@
   response_started_ = {};
   if (exchange_->request_message && exchange_->request_message->body_stream)
     return start_body_stream();
+  arm_deadline_timer();
   const auto body = exchange_->request_message ? asio::buffer(exchange_->request_message->body)
                                                : asio::const_buffer();
   const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_), body};
@@ -127,9 +129,10 @@
     request_head_.append(m->method_name()).append(" ").append(m->target).append(" HTTP/1.1\r\n");
     line("X-Request-ID", m->request_id);
     if (!m->idempotency_key.empty()) line("Idempotency-Key", m->idempotency_key);
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(exchange_->deadline - now)
-                          .count();
-    line("X-Timeout-Ms", std::to_string(left));
+    const auto left = std::min(
+        {exchange_->deadline - now, m->deadline.time_left(now), m->earliest_deadline() - now});
+    line("X-Timeout-Ms",
+         std::to_string(std::chrono::ceil<std::chrono::milliseconds>(left).count()));
     if (!m->content_type.empty()) line("Content-Type", m->content_type);
     if (m->body_stream && !m->body_stream->length())
       line("Transfer-Encoding", "chunked");
@@ -169,14 +172,14 @@
   close(outcome_before_written(), deferred_end_reason_.value_or(AttemptEndReason::write_failed));
 }
 
-// Streams a long request body as it arrives from the client. The deadline of the attempt is counted
-// from its last byte.
+// Streams a long request body as it arrives from the client.
 void UpstreamConnection::start_body_stream() {
   auto& upload = *exchange_->request_message->body_stream;
-  arm_stall_timer(AttemptOutcome::timeout, AttemptEndReason::timed_out);
+  body_write_time_ = upstream_.timers_.now();
+  arm_body_timer();
   upload.set_data_callback([weak = weak_from_this(), request = exchange_->request] {
     const auto self = weak.lock();
-    if (self && self->exchange_ && self->exchange_->request == request) self->write_body_chunk();
+    if (self && self->exchange_ && self->exchange_->request == request) self->on_body_changed();
   });
   write_pending_ = true;
   asio::async_write(socket_, asio::buffer(request_head_),
@@ -188,6 +191,30 @@
                     });
 }
 
+Time UpstreamConnection::body_write_deadline() const {
+  const auto& message = *exchange_->request_message;
+  return policy::body_write_deadline(
+      message.deadline, {body_write_time_, message.body_stream->last_byte_hidden_since()},
+      limits::kStreamStallTimeout);
+}
+
+// Bounds the time until the server has taken the whole body.
+void UpstreamConnection::arm_body_timer() {
+  upstream_.timers_.cancel(deadline_timer_);
+  deadline_timer_ = upstream_.timers_.at(body_write_deadline(), [self = shared_from_this()] {
+    self->deadline_timer_.reset();
+    if (self->body_write_deadline() > self->upstream_.timers_.now()) return self->arm_body_timer();
+    self->close(AttemptOutcome::timeout, AttemptEndReason::timed_out);
+  });
+}
+
+// Called when more of the body has arrived, or when what is known of its end has changed.
+void UpstreamConnection::on_body_changed() {
+  if (state_ != State::writing) return;
+  arm_body_timer();
+  write_body_chunk();
+}
+
 void UpstreamConnection::write_body_chunk() {
   if (state_ != State::writing || write_pending_) return;
   auto& upload = *exchange_->request_message->body_stream;
@@ -207,19 +234,21 @@
                       self->write_pending_ = false;
                       if (self->state_ != State::writing) return;
                       if (failed) return self->on_write_failed();
-                      if (!last)
-                        return self->arm_stall_timer(AttemptOutcome::timeout,
-                                                     AttemptEndReason::timed_out),
-                               self->write_body_chunk();
-                      auto& e = *self->exchange_;
-                      const Time now = self->upstream_.timers_.now();
-                      e.deadline = now + (e.deadline - e.started);
-                      e.started = now;
-                      self->arm_deadline_timer();
-                      self->on_request_written();
+                      if (last) return self->on_body_written();
+                      self->body_write_time_ = self->upstream_.timers_.now();
+                      self->arm_body_timer();
+                      self->write_body_chunk();
                     });
 }
 
+// The server starts on the request now; its client has waited since the last byte arrived here.
+void UpstreamConnection::on_body_written() {
+  exchange_->started = upstream_.timers_.now();
+  exchange_->deadline = exchange_->request_message->deadline.time();
+  arm_deadline_timer();
+  on_request_written();
+}
+
 void UpstreamConnection::read() {
   if (state_ == State::closed || std::exchange(read_pending_, true)) return;
   const auto space = buffer_.prepare(streaming_ ? limits::kStreamChunkBytes
@@ -344,8 +373,7 @@
 void UpstreamConnection::forward_chunk() {
   auto& body = parser_->get().body();
   upstream_.timers_.cancel(deadline_timer_);
-  if (body.empty())
-    return arm_stall_timer(AttemptOutcome::reset, AttemptEndReason::stalled), read();
+  if (body.empty()) return arm_stall_timer(), read();
   paused_ = true;
   forwarded_bytes_ += body.size();
   upstream_.callbacks_.on_stream_chunk(*exchange_, body, [weak = weak_from_this()] {
@@ -364,26 +392,24 @@
 
 void UpstreamConnection::on_chunk_written() {
   if (state_ == State::closed || !std::exchange(paused_, false)) return;
-  arm_stall_timer(AttemptOutcome::reset, AttemptEndReason::stalled);
+  arm_stall_timer();
   read();
 }
 
 // A long response may take any time as long as parts of it keep arriving. One within the usual size
 // limit is bound by the request's deadline: if it is not complete soon after that, it is ended and
 // its client sees it cut off.
-void UpstreamConnection::arm_stall_timer(AttemptOutcome outcome, AttemptEndReason reason) {
-  const Time now = upstream_.timers_.now();
-  Time stall_deadline = now + limits::kStreamStallTimeout;
-  const auto length = streaming_ ? parser_->content_length() : boost::none;
-  if (streaming_ && (length ? *length : forwarded_bytes_) <= limits::kMaxBodyBytes)
-    stall_deadline = std::min(stall_deadline, std::max(now, exchange_->request_message->deadline +
-                                                                limits::kMaxResponseLateness));
+void UpstreamConnection::arm_stall_timer() {
+  const auto length = parser_->content_length();
+  const bool is_short = (length ? *length : forwarded_bytes_) <= limits::kMaxBodyBytes;
+  const Time due = policy::response_stall_deadline(
+      exchange_->request_message->deadline, upstream_.timers_.now(), is_short,
+      limits::kStreamStallTimeout, limits::kMaxResponseLateness);
   upstream_.timers_.cancel(deadline_timer_);
-  deadline_timer_ = upstream_.timers_.at(stall_deadline,
-                                         [self = shared_from_this(), outcome, reason] {
-                                           self->deadline_timer_.reset();
-                                           self->close(outcome, reason);
-                                         });
+  deadline_timer_ = upstream_.timers_.at(due, [self = shared_from_this()] {
+    self->deadline_timer_.reset();
+    self->close(AttemptOutcome::reset, AttemptEndReason::stalled);
+  });
 }
 
 // A broken connection can't be used for the request in flight on it. If the last byte of the
--- a/src/node/upstream_connection.hpp
+++ b/src/node/upstream_connection.hpp
@@ -21,7 +21,8 @@
   RequestId request{};
   std::uint32_t attempt = 0;
   EndpointId endpoint{};
-  Time started{}, deadline{};
+  Time started{};   // once a long body is written: since its last byte
+  Time deadline{};  // Time::max() until the last byte of a request's long body has arrived
   std::shared_ptr<const ClientRequest> request_message;
   Time response_started{};            // when streaming of the response to the client began
   Duration connect_duration{};        // time to establish the connection; 0: an idle one was reused
@@ -63,7 +64,9 @@
     return unsolicited_input_ ? AttemptOutcome::never_sent : AttemptOutcome::connect_failed;
   }
   void process_input();
+  void on_body_changed();
   void write_body_chunk();
+  void on_body_written();
   void on_request_written();
   void on_write_failed();
   void on_response_complete();
@@ -72,8 +75,10 @@
   bool should_stream() const;
   void start_hold_timer();
   void start_streaming();
-  void arm_stall_timer(AttemptOutcome outcome, AttemptEndReason reason);
+  void arm_stall_timer();
   void arm_deadline_timer();
+  void arm_body_timer();
+  Time body_write_deadline() const;
   void write_head(Time now);
   void start_body_stream();
   void forward_chunk();
@@ -89,6 +94,7 @@
   std::string request_head_;
   std::string body_chunk_;
   bool write_pending_ = false;  // of the head or a chunk of a streamed request body
+  Time body_write_time_{};      // when the server last took a part of that body
   std::optional<UpstreamExchange> exchange_;
   Timers::Handle deadline_timer_, hold_timer_;
   State state_ = State::connecting;
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -74,7 +74,8 @@
     if (!request.holds_slot) continue;
     const auto release_time = now +
                               from_seconds(kSlotReleaseLatencies * request.expected_latency());
-    slot_releases[request.quota.lease_id()].push_back(std::min(request.deadline, release_time));
+    slot_releases[request.quota.lease_id()].push_back(
+        std::min(request.deadline.time(), release_time));
   }
   leases_.export_state(state, std::move(slot_releases));
   return state;
@@ -151,6 +152,11 @@
   erase_if_done(event.request);
 }
 
+void Gateway::AdmissionController::on(const RequestReceived& event) {
+  if (auto* request = find_or_null(requests_, event.request))
+    request->on_received(context_.now, event.time_left);
+}
+
 void Gateway::AdmissionController::on(const ClientDisconnected& event) {
   if (auto* request = find_or_null(requests_, event.request)) end(*request);
   erase_if_done(event.request);
@@ -296,7 +302,7 @@
   // No time-out before the client's and no hedged requests: on overloaded servers both duplicated
   // work.
   timers_.set(request.id(), request.timer_deadline, Time::max());
-  const auto timeout = std::max(request.deadline - context_.now, Duration(1));
+  const auto timeout = std::max(request.deadline.time_left(context_.now), Duration(1));
   context_.actions.emplace_back(Send{request.id(), endpoint, timeout, request.retry_deadline()});
 }
 
--- a/src/policy/request.cpp
+++ b/src/policy/request.cpp
@@ -31,7 +31,8 @@
   quota.priority = std::clamp(weight / classes->max_weight, 0.0, 1.0);
   admission_jitter = context.random() + 1 - quota.priority;
   arrival_time = context.now;
-  deadline = context.now + arrival.time_left;
+  deadline = arrival.body_pending ? RequestDeadline::pending(arrival.time_left)
+                                  : RequestDeadline::running(context.now, arrival.time_left);
   first_request_time = context.now - time_since_first_request(arrival);
 }
 
@@ -48,13 +49,22 @@
   return average > 0 ? average : seconds(request_class().latency_objective) * kInitialLatencyShare;
 }
 
+void Request::on_received(Time now, Duration time_left) {
+  if (!deadline.on_last_byte(now)) return;
+  deadline.limit(now + time_left);
+  first_request_time += now - arrival_time;
+  arrival_time = now;
+}
+
 bool Request::misses_objective(Time now) const {
-  return request_class().late_weight == 0 && now >= objective_end();
+  const Time counted = deadline.is_running() ? now : arrival_time;
+  return request_class().late_weight == 0 && counted >= objective_end();
 }
 
 Time Request::queue_deadline() const {
   const auto objective = std::max(objective_end() - arrival_time, Duration{});
-  return arrival_time + scaled(std::min(objective, deadline - arrival_time), kQueueShare);
+  const auto time_left = deadline.time_left(arrival_time);
+  return arrival_time + scaled(std::min(objective, time_left), kQueueShare);
 }
 
 Time Request::retry_deadline() const {
@@ -65,7 +75,7 @@
 }
 
 bool Request::may_retry(Time now) const {
-  const bool in_time = now < std::min(deadline, retry_deadline()) && !misses_objective(now);
+  const bool in_time = now < std::min(deadline.time(), retry_deadline()) && !misses_objective(now);
   return in_time && !body_consumed && attempts.size() < classes->max_attempts;
 }
 
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -9,6 +9,7 @@
 #include "policy/class_snapshot.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/quota_lease.hpp"
+#include "policy/request_deadline.hpp"
 
 namespace petrelrail::policy {
 
@@ -26,7 +27,8 @@
   std::shared_ptr<const ClassSnapshot> classes;  // at its arrival
   ClassIndex class_index{};
   Time first_request_time{};  // estimated arrival of the client's first attempt
-  Time arrival_time{}, deadline{};
+  Time arrival_time{};        // of its last byte; while that is missing, of its header
+  RequestDeadline deadline;
   Time timer_deadline = Time::max();  // see RequestTimers
   RequestStage stage = RequestStage::waiting_for_lease;
   // From 0 to 2: capacity that must be free below the concurrency limit; a random part plus one
@@ -48,6 +50,9 @@
   std::ptrdiff_t outstanding_attempts() const;
   double expected_latency() const;  // of a successful answer, in seconds
 
+  // The last byte of a request whose body was still arriving is here.
+  void on_received(Time now, Duration time_left);
+
   Time objective_end() const { return first_request_time + request_class().latency_objective; }
   // Returns whether an answer at `now` would be worthless. Saves units for requests whose answer
   // can still be in time.
--- /dev/null
+++ b/src/policy/request_deadline.hpp
@@ -0,0 +1,99 @@
+// From which moment a request's time counts, and the deadlines that follow from it. src/node and
+// the decision module take every deadline of a request from here.
+//
+// A request's time counts from its last byte (PROTOCOL, "Figures"), not from its header:
+//
+//   body                   its last byte has arrived when
+//   ---------------------  ------------------------------------------------------------------------
+//   none, or a short one   the request is taken, as it is read completely before that
+//   long, with a length    all that its length still announces lies in the socket's receive buffer
+//   long, in chunks        its last chunk is read, as nothing earlier tells which one is the last
+//
+// A long body is forwarded while it arrives. Until its last byte has arrived the request has no
+// deadline, unless the process ends: the client is bound by the rate at which it has to write, and
+// the price server by body_write_deadline().
+#pragma once
+
+#include <algorithm>
+#include <optional>
+
+#include "petrelrail/types.hpp"
+
+namespace petrelrail::policy {
+
+class RequestDeadline {
+ public:
+  RequestDeadline() = default;
+  // Of a request that has arrived completely.
+  static RequestDeadline running(Time now, Duration timeout) {
+    RequestDeadline deadline = pending(timeout);
+    deadline.on_last_byte(now);
+    return deadline;
+  }
+  // Of a request whose body is still arriving.
+  static RequestDeadline pending(Duration timeout) {
+    RequestDeadline deadline;
+    deadline.timeout_ = timeout;
+    return deadline;
+  }
+
+  // Returns whether the time begins to count now; it begins only once.
+  bool on_last_byte(Time now) {
+    if (running_) return false;
+    running_ = true;
+    deadline_ = now + timeout_;
+    return true;
+  }
+  // The process ends at `latest`, and no answer can be given after that.
+  void limit(Time latest) { latest_ = std::min(latest_, latest); }
+
+  bool is_running() const { return running_; }
+  // How long the client waits from the request's last byte.
+  Duration timeout() const { return timeout_; }
+  // When the answer is due; Time::max() before the last byte has arrived, unless limited.
+  Time time() const { return std::min(deadline_, latest_); }
+  // The earliest that the answer may be due if the last byte may have arrived at any time since
+  // `last_byte_hidden_since`; none: it can't have arrived unseen.
+  Time earliest_time(std::optional<Time> last_byte_hidden_since) const {
+    return last_byte_hidden_since ? std::min(time(), *last_byte_hidden_since + timeout_) : time();
+  }
+  // How long the client still waits: the whole timeout while its time does not count.
+  Duration time_left(Time now) const {
+    return std::min(running_ ? deadline_ - now : timeout_, latest_ - now);
+  }
+
+ private:
+  Duration timeout_{};
+  bool running_ = false;
+  Time deadline_ = Time::max();
+  Time latest_ = Time::max();
+};
+
+// How far a price server has taken a body that is forwarded while it arrives.
+struct BodyWriteProgress {
+  Time last_write_time{};  // when it last took a part; at first, when the attempt was started
+  // Since when no more is read from the client because the server takes nothing. The body's last
+  // byte may lie unread. None: reading goes on, or so much is missing that it can't lie there.
+  std::optional<Time> last_byte_hidden_since{};
+};
+
+// Until when a price server has to take the rest of a body. A server that takes nothing ends the
+// attempt after `stall_timeout`, or as soon as the time of a client may be over whose last byte may
+// have arrived.
+inline Time body_write_deadline(const RequestDeadline& deadline, const BodyWriteProgress& progress,
+                                Duration stall_timeout) {
+  return std::min(deadline.earliest_time(progress.last_byte_hidden_since),
+                  progress.last_write_time + stall_timeout);
+}
+
+// When a response that is forwarded while it arrives ends unfinished if nothing more of it comes. A
+// long one may take any time as long as parts of it keep arriving; a short one has to be complete
+// `max_lateness` after its request's deadline.
+inline Time response_stall_deadline(const RequestDeadline& deadline, Time now, bool is_short,
+                                    Duration stall_timeout, Duration max_lateness) {
+  const Time stalled = now + stall_timeout;
+  if (!is_short || deadline.time() == Time::max()) return stalled;
+  return std::min(stalled, std::max(now, deadline.time() + max_lateness));
+}
+
+}  // namespace petrelrail::policy
--- a/src/policy/request_state.hpp
+++ b/src/policy/request_state.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "petrelrail/gateway.hpp"
+#include "policy/request_deadline.hpp"
 
 namespace petrelrail::policy {
 
@@ -65,7 +66,7 @@
 struct RequestPolicy {
   Idempotency idempotency = Idempotency::idempotent;
   Duration deduplication_window{};  // of an idempotency key
-  Time deadline{};                  // the client's deadline
+  RequestDeadline deadline;
   std::uint32_t max_attempts = 1;
 };
 
@@ -79,6 +80,9 @@
   std::uint32_t outstanding_attempts() const { return outstanding_attempts_; }
   bool streams_response() const { return streams_response_; }
 
+  // The last byte of a request whose body was still arriving is here.
+  void on_received(Time now) { policy_.deadline.on_last_byte(now); }
+
   // ---- Attempts
   std::optional<InvariantViolation> check_forward(Time now) const {
     if (ended_ || streams_response_) return InvariantViolation::forwarded_after_end;
@@ -86,7 +90,7 @@
     if (attempts_ >= policy_.max_attempts) return InvariantViolation::too_many_attempts;
     if (may_have_run_ && policy_.idempotency == Idempotency::non_idempotent)
       return InvariantViolation::non_idempotent_retry;
-    if (now >= write_deadline() + kClockSlack) return InvariantViolation::forwarded_too_late;
+    if (now - kClockSlack >= write_deadline()) return InvariantViolation::forwarded_too_late;
     return std::nullopt;
   }
   void on_forwarded(Time now) {
@@ -114,14 +118,14 @@
   void on_client_disconnected() { ended_ = true; }
   // Returns whether the final answer is missing `grace` after the client's deadline.
   bool is_overdue(Time now, Duration grace) const {
-    return !ended_ && !streams_response_ && now >= policy_.deadline + grace;
+    return !ended_ && !streams_response_ && now - grace >= policy_.deadline.time();
   }
 
  private:
   Time write_deadline() const {
     if (!may_have_run_ || policy_.idempotency != Idempotency::idempotency_key)
-      return policy_.deadline;
-    return std::min(policy_.deadline, first_forwarded_time_ + policy_.deduplication_window);
+      return policy_.deadline.time();
+    return std::min(policy_.deadline.time(), first_forwarded_time_ + policy_.deduplication_window);
   }
 
   RequestPolicy policy_;
--- a/tests/connection_pool_fixture.hpp
+++ b/tests/connection_pool_fixture.hpp
@@ -42,7 +42,7 @@
     m->method = http::verb::get, m->target = "/read", m->request_id = "r" + std::to_string(++sent);
     m->body_stream = std::move(upload);
     const auto now = timers.now();
-    m->deadline = now + timeout;
+    m->deadline = policy::RequestDeadline::running(now, timeout);
     upstream->send({RequestId(sent), 0, server, now, now + timeout, m, {}, {}});
   }
   bool wait_for_ends(std::size_t n) {
--- a/tests/loopback_peers.hpp
+++ b/tests/loopback_peers.hpp
@@ -104,10 +104,12 @@
       if (error) return;
       wires.push_back(std::make_shared<Wire>(std::move(s)));
       wires.back()->on_data = on_;
-      wires.back()->read();
+      if (reads_) wires.back()->read();
       accept();
     });
   }
+  // Nothing is read from connections that are accepted from now on.
+  void accept_without_reading() { reads_ = false; }
   // Acts as a process that dies: closes the listener and resets every connection.
   void stop() {
     error_code ignored;
@@ -128,6 +130,7 @@
  private:
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
   std::function<void(Wire&)> on_;
+  bool reads_ = true;
   Tcp::endpoint at_;
 };
 
--- /dev/null
+++ b/tests/request_deadline_test.cpp
@@ -0,0 +1,143 @@
+// Unit tests of when a request's time begins to count and of the deadlines that follow from it, in
+// the rule itself, in the invariants and in the decision module. The clock is driven.
+#include "policy/request_deadline.hpp"
+
+#include <gtest/gtest.h>
+
+#include "gateway_fixture.hpp"
+#include "policy/request_state.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+using policy::RequestDeadline;
+using policy::RequestState;
+
+constexpr Time kStart{1000s};
+
+// Guards against a time that counts from a request's header, and one that begins twice.
+TEST(RequestDeadlineTest, TimeCountsFromTheLastByte) {
+  auto deadline = RequestDeadline::pending(2s);
+  EXPECT_FALSE(deadline.is_running());
+  EXPECT_EQ(deadline.time(), Time::max());
+  EXPECT_EQ(deadline.time_left(kStart + 60s), 2s);
+  EXPECT_TRUE(deadline.on_last_byte(kStart + 60s));
+  EXPECT_EQ(deadline.time(), kStart + 62s);
+  EXPECT_EQ(deadline.time_left(kStart + 61s), 1s);
+  EXPECT_FALSE(deadline.on_last_byte(kStart + 61s));
+  EXPECT_EQ(deadline.time(), kStart + 62s);
+  EXPECT_EQ(RequestDeadline::running(kStart, 2s).time(), kStart + 2s);
+}
+// Guards against a request that outlives the process because its last byte comes late.
+TEST(RequestDeadlineTest, TheEndOfTheProcessLimitsItBeforeAndAfterTheLastByte) {
+  auto deadline = RequestDeadline::pending(2s);
+  deadline.limit(kStart + 1s);
+  EXPECT_EQ(deadline.time(), kStart + 1s);
+  EXPECT_EQ(deadline.time_left(kStart), 1s);
+  deadline.on_last_byte(kStart + 500ms);
+  EXPECT_EQ(deadline.time(), kStart + 1s);
+}
+// Guards against a body whose last byte may have arrived being held for longer than its client
+// waits, and against ending one whose client still writes.
+TEST(RequestDeadlineTest, AServerThatTakesNothingIsBoundByTheClientsTimeout) {
+  auto deadline = RequestDeadline::pending(2s);
+  EXPECT_EQ(body_write_deadline(deadline, {kStart, {}}, 10s), kStart + 10s);
+  EXPECT_EQ(body_write_deadline(deadline, {kStart, kStart + 1s}, 10s), kStart + 3s);
+  EXPECT_EQ(body_write_deadline(RequestDeadline::pending(60s), {kStart, kStart + 1s}, 10s),
+            kStart + 10s);
+  EXPECT_EQ(deadline.earliest_time(std::nullopt), Time::max());
+  EXPECT_EQ(deadline.earliest_time(kStart + 1s), kStart + 3s);
+  deadline.on_last_byte(kStart + 500ms);
+  EXPECT_EQ(deadline.earliest_time(kStart + 1s), kStart + 2500ms);
+  EXPECT_EQ(body_write_deadline(deadline, {kStart, kStart + 1s}, 10s), kStart + 2500ms);
+}
+// Guards against a short answer that is left unfinished beyond its time, and a long one that is cut
+// off while parts of it arrive.
+TEST(RequestDeadlineTest, AnUnfinishedAnswerEndsAtItsTimeOrWhenItStalls) {
+  const auto due = [](const RequestDeadline& deadline, Duration after, bool is_short) {
+    return policy::response_stall_deadline(deadline, kStart + after, is_short, 10s, 400ms) - kStart;
+  };
+  const auto deadline = RequestDeadline::running(kStart, 2s);
+  EXPECT_EQ(due(deadline, 1s, true), 2400ms);
+  EXPECT_EQ(due(deadline, 3s, true), 3s);
+  EXPECT_EQ(due(deadline, 3s, false), 13s);
+  EXPECT_EQ(due(RequestDeadline::running(kStart, 60s), 1s, true), 11s);
+}
+// Guards against a retry being turned down, or a request reported as overdue, while it still
+// arrives.
+TEST(RequestStateTest, ARequestIsNotOverdueBeforeItsLastByte) {
+  RequestState state({.deadline = RequestDeadline::pending(2s), .max_attempts = 3});
+  EXPECT_FALSE(state.is_overdue(kStart + 60s, 300ms));
+  EXPECT_TRUE(state.may_write(kStart + 60s));
+  EXPECT_EQ(state.check_forward(kStart + 60s), std::nullopt);
+  state.on_received(kStart + 60s);
+  EXPECT_TRUE(state.is_overdue(kStart + 62300ms, 300ms));
+  EXPECT_FALSE(state.may_write(kStart + 62s));
+}
+
+// A request whose body is still arriving, in the decision module.
+struct PendingBody : ::testing::Test {
+  PendingBody() { host.list_servers(2); }
+  // Submits a request whose client waits 1 s from its last byte, and grants its units.
+  std::optional<Send> submit() {
+    host.handle_event(RequestArrived{.request = RequestId(7),
+                                     .customer = CustomerId(1),
+                                     .time_left = 1s,
+                                     .gateways = 2,
+                                     .body_pending = true});
+    if (const auto calls = host.actions_of<AddToCounter>(); !calls.empty())
+      host.respond_to_call(calls[0], calls[0].amount);
+    const auto sends = host.actions_of<Send>();
+    return sends.empty() ? std::nullopt : std::optional(sends[0]);
+  }
+  Host host;
+};
+// Guards against an attempt that gets less than the client's whole time, and against a retry that
+// is given up because the client still writes.
+TEST_F(PendingBody, AnAttemptAndItsRetryHaveTheWholeTime) {
+  const auto send = submit();
+  ASSERT_TRUE(send);
+  EXPECT_EQ(send->timeout, 1s);
+  host.now += 60s;
+  host.end_attempt(*send, AttemptOutcome::connect_failed);
+  const auto retries = host.actions_of<Send>();
+  ASSERT_EQ(retries.size(), 1u);
+  EXPECT_EQ(retries[0].timeout, 1s);
+}
+// Guards against a retry after the time that counts from the last byte, and one that gets more than
+// is left of it.
+TEST_F(PendingBody, ARetryAfterTheLastByteHasWhatIsLeft) {
+  const auto send = submit();
+  ASSERT_TRUE(send);
+  host.now += 60s;
+  host.handle_event(RequestReceived{RequestId(7), 1s});
+  host.now += 300ms;
+  host.end_attempt(*send, AttemptOutcome::connect_failed);
+  const auto retries = host.actions_of<Send>();
+  ASSERT_EQ(retries.size(), 1u);
+  EXPECT_EQ(retries[0].timeout, 700ms);
+  host.now += 700ms;
+  host.end_attempt(retries[0], AttemptOutcome::connect_failed, false, 20ms, 1);
+  EXPECT_FALSE(host.has<Send>());
+  EXPECT_TRUE(host.has<Reject>());
+}
+// Guards against a successor that releases the slot of a request whose client still writes.
+TEST(PendingBodyHandover, TheSlotOfARequestThatStillArrivesIsNotReleasedAtItsHeadersTime) {
+  auto s = settings();
+  s.plans[0].max_concurrent = 4;
+  Host host(s);
+  host.list_servers(2);
+  host.handle_event(RequestArrived{.request = RequestId(7),
+                                   .customer = CustomerId(1),
+                                   .time_left = 100ms,
+                                   .gateways = 2,
+                                   .body_pending = true});
+  host.now += 60s;
+  const auto state = host.gateway.export_state(host.now);
+  ASSERT_EQ(state.leases.size(), 1u);
+  ASSERT_EQ(state.leases[0].slot_release_times.size(), 1u);
+  EXPECT_GT(state.leases[0].slot_release_times[0], host.now);
+}
+
+}  // namespace
+}  // namespace petrelrail::test
--- a/tests/request_state_test.cpp
+++ b/tests/request_state_test.cpp
@@ -14,7 +14,7 @@
 RequestState request_state(Idempotency idempotency, std::uint32_t max_attempts = 3) {
   return RequestState({.idempotency = idempotency,
                        .deduplication_window = 500ms,
-                       .deadline = kStart + 2s,
+                       .deadline = RequestDeadline::running(kStart, 2s),
                        .max_attempts = max_attempts});
 }
 
--- /dev/null
+++ b/tests/slow_upload_test.cpp
@@ -0,0 +1,148 @@
+// Tests of a complete edge node over loopback sockets whose clients write long bodies slowly: the
+// time of a request counts from its last byte. The rule itself: request_deadline_test.cpp.
+#include "limits.hpp"
+#include "node_fixture.hpp"
+
+namespace petrelrail::test {
+namespace {
+
+constexpr std::size_t kLongBody = 2 * limits::kMaxBodyBytes;
+
+std::string chunk(const std::string& data) {
+  std::array<char, 32> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  return size.data() + data + "\r\n";
+}
+
+enum class Framing { length, chunked };
+
+struct SlowUpload : NodeTest {
+  // A request of a class that may not be repeated, in two parts: all but its last byte, and that.
+  struct Parts {
+    std::string start, last_byte;
+  };
+  static Parts request(Framing framing, std::size_t body_bytes, const std::string& timeout) {
+    auto spec = unsafe_request();
+    spec.body.clear(), spec.timeout = timeout;
+    auto head = spec.text();
+    const std::string no_body = "Content-Length: 0\r\n";
+    const std::string body(body_bytes, 'b');
+    const bool chunked = framing == Framing::chunked;
+    head.replace(head.find(no_body), no_body.size(),
+                 chunked ? "Transfer-Encoding: chunked\r\n"
+                         : "Content-Length: " + std::to_string(body_bytes) + "\r\n");
+    const auto text = head + (chunked ? chunk(body) + "0\r\n\r\n" : body);
+    return {text.substr(0, text.size() - 1), text.substr(text.size() - 1)};
+  }
+  void wait(Duration time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    loop.until([&] { return std::chrono::steady_clock::now() >= end; });
+  }
+  // From now on the price servers answer with `answer_text` once the last byte of a request is
+  // there.
+  void answer_complete_requests() {
+    const auto serve = [this](Wire& w) {
+      const bool chunked = w.in.find("Transfer-Encoding: chunked\r\n") != std::string::npos;
+      if (chunked ? !w.in.ends_with("\r\n0\r\n\r\n") : w.message().empty()) return;
+      w.in.clear();
+      w.send(answer_text);
+      answered = w.shared_from_this();
+    };
+    server.on(serve), second.on(serve);
+  }
+  static std::size_t body_bytes(const Wire& w) {
+    const auto head = w.in.find("\r\n\r\n");
+    return head == std::string::npos ? 0 : std::ranges::count(w.in.substr(head), 'z');
+  }
+
+  std::string answer_text;
+  std::shared_ptr<Wire> answered;  // where the last answer was sent
+};
+
+// Guards against the answer to a long request being cut off because its client wrote for longer
+// than it waits: the time counted from the header (review, case 3).
+TEST_F(SlowUpload, AnAnswerIsCompleteAlthoughItsRequestTookLongerThanItsTimeout) {
+  start();
+  answer_complete_requests();
+  const std::string half(20'000, 'z');
+  for (const auto framing : {Framing::length, Framing::chunked}) {
+    for (const bool answer_in_chunks : {false, true}) {
+      SCOPED_TRACE(testing::Message() << "request in chunks " << (framing == Framing::chunked)
+                                      << ", answer in chunks " << answer_in_chunks);
+      answer_text = answer_in_chunks
+                        ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(half)
+                        : "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + half;
+      const auto parts = request(framing, kLongBody, "1000");
+      const auto w = client();
+      w->send(parts.start);
+      ASSERT_TRUE(loop.until([&] { return node->open_requests() == 1; }));
+      wait(1s + limits::kMaxResponseLateness + 100ms);
+      w->send(parts.last_byte);
+      ASSERT_TRUE(loop.until([&] { return body_bytes(*w) == half.size() || w->ended; }));
+      wait(100ms);  // between the two parts of the answer
+      EXPECT_FALSE(w->ended);
+      answered->send(answer_in_chunks ? chunk(half) + "0\r\n\r\n" : half);
+      EXPECT_TRUE(loop.until([&] { return body_bytes(*w) == 2 * half.size() || w->ended; }));
+      EXPECT_EQ(body_bytes(*w), 2 * half.size());
+      ASSERT_TRUE(loop.until([&] { return node->open_requests() == 0; }));
+    }
+  }
+}
+// Guards against an answer that its server leaves unfinished: it ends soon after the request's
+// time, long before the limit of a long answer, however the request and the answer are framed.
+TEST_F(SlowUpload, AnAnswerThatIsLeftUnfinishedEndsInTime) {
+  start();
+  answer_complete_requests();
+  const std::string part(20'000, 'z');
+  for (const bool answer_in_chunks : {false, true}) {
+    answer_text = answer_in_chunks
+                      ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(part)
+                      : "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + part;
+    std::vector<std::shared_ptr<Wire>> clients;
+    for (const auto framing : {Framing::length, Framing::chunked})
+      for (const std::size_t body : {std::size_t{10}, kLongBody}) {
+        const auto parts = request(framing, body, "500");
+        clients.push_back(client());
+        clients.back()->send(parts.start);
+        wait(100ms);
+        clients.back()->send(parts.last_byte);
+      }
+    const auto written = std::chrono::steady_clock::now();
+    for (const auto& w : clients) {
+      EXPECT_TRUE(loop.until([&] { return w->ended; }, limits::kStreamStallTimeout / 2));
+      EXPECT_EQ(body_bytes(*w), part.size());
+    }
+    EXPECT_GE(std::chrono::steady_clock::now() - written, 500ms);
+  }
+}
+// Guards against a silent server that leaves a long request without an answer in its time.
+TEST_F(SlowUpload, ALongRequestToASilentServerIsAnsweredInItsTime) {
+  start();
+  respond = {};
+  for (const auto framing : {Framing::length, Framing::chunked}) {
+    const auto parts = request(framing, kLongBody, "300");
+    const auto w = client();
+    w->send(parts.start);
+    wait(400ms);
+    EXPECT_TRUE(w->in.empty());
+    w->send(parts.last_byte);
+    EXPECT_TRUE(loop.until([&] { return !w->in.empty(); }, limits::kStreamStallTimeout / 2));
+    EXPECT_GE(status(w), 500);
+  }
+}
+// Guards against a server that takes a connection and reads nothing: the client, whose last byte
+// the sockets hold, waited for 10 s whatever its timeout.
+TEST_F(SlowUpload, ABodyThatNoServerTakesIsAnsweredInItsTime) {
+  start();
+  for (auto* peer : {&server, &second}) peer->accept_without_reading();
+  for (const auto framing : {Framing::length, Framing::chunked}) {
+    const auto parts = request(framing, 8UL << 20U, "500");
+    const auto w = client();
+    w->send(parts.start + parts.last_byte);
+    EXPECT_TRUE(loop.until([&] { return !w->in.empty(); }, limits::kStreamStallTimeout / 2));
+    EXPECT_GE(status(w), 500);
+  }
+}
+
+}  // namespace
+}  // namespace petrelrail::test
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -42,7 +42,8 @@
     m->request_id = "r" + std::to_string(++sent);
     m->body = std::move(body);
     const auto now = timers.now();
-    m->deadline = now + 10s;  // the client's deadline; the attempt's may be earlier
+    // The client's deadline; the attempt's may be earlier.
+    m->deadline = policy::RequestDeadline::running(now, 10s);
     upstream.send({RequestId(sent), 0, server, now, now + timeout, m});
   }
   // Makes one attempt at a server that runs the script, and returns its only outcome.
