The time of a request behind another one of its connection counts from when it was read

Cause: the time of a request that was sent at once with others counted from when its turn came, however long it had waited behind them. Its client got an answer later than its time, or the request was sent to a server for nothing.

Change: it counts from when the last bytes on its connection were received; a request whose time is over by its turn is answered 503 and not forwarded. What is left for the decision module is computed in one place, Node::accept_request, which takes the computation from HttpServer::shorten_deadline and JobService.

--- a/src/node/client_request.hpp
+++ b/src/node/client_request.hpp
@@ -17,7 +17,7 @@
 namespace http = boost::beast::http;
 
 struct ClientRequest {
-  RequestArrived arrival;  // Node sets its number
+  RequestArrived arrival;  // Node sets its number and the time that is left
   policy::RequestDeadline deadline;
   http::verb method{};
   std::string target, request_id, idempotency_key, content_type, body;
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -159,11 +159,7 @@
 void HttpServer::shorten_deadline(ClientRequest& request) const {
   const Time now = timers_.now();
   if (!draining_ || now - drain_started_time_ <= limits::kNewConnectionsAfterTerm) return;
-  if (request.deadline.time() <= drain_deadline_) return;
-  if (drain_deadline_ <= now)
-    throw RequestError(http::status::service_unavailable, "this process ends");
   request.deadline.limit(drain_deadline_);
-  request.arrival.time_left = request.deadline.time_left(now);
 }
 
 // Clients that have their responses but do not close don't delay the exit beyond the deadline.
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -178,8 +178,11 @@
                   {}});
   }
   try {
-    auto request = read_request(message, server_.settings_, server_.timers_.now(), !is_complete);
+    // The last bytes that were received; a request that waited behind an earlier one is among them.
+    auto request = read_request(message, server_.settings_, last_received_time_, !is_complete);
     server_.shorten_deadline(request);
+    if (request.deadline.time() <= server_.timers_.now())
+      throw RequestError(http::status::service_unavailable, "the time of the request is over");
     if (stream) {
       stream->append(std::exchange(request.body, {}));
       request.body_stream = stream;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -374,7 +374,6 @@
   a.customer = CustomerId(spec.customer);
   a.units = static_cast<double>(line.milliunits) / std::milli::den;
   a.gateways = settings_->fleet_size;
-  a.time_left = cls->deadline;
   a.best_effort = true;
   r.deadline = policy::RequestDeadline::running(timers_.now(), cls->deadline);
   r.method = cls->idempotency == Idempotency::idempotent ? http::verb::get : http::verb::post;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -379,6 +379,7 @@
 std::uint64_t Node::accept_request(ClientRequest request, std::shared_ptr<ResponseSink> sink) {
   const RequestId id{++last_request_number_};
   request.arrival.request = id;
+  request.arrival.time_left = request.deadline.time_left(timers_.now());
   const RequestArrived arrival = request.arrival;
   auto& counts = metrics_.response_counts(request.request_class().name);
   if (log::is_request_logging_enabled())
--- a/src/node/request_reader.cpp
+++ b/src/node/request_reader.cpp
@@ -108,7 +108,7 @@
 }  // namespace
 
 ClientRequest read_request(ParsedRequest& message, std::shared_ptr<const Settings> settings,
-                           Time now, bool body_pending) {
+                           Time received, bool body_pending) {
   ClientRequest r;
   const auto& s = *settings;
   r.settings = std::move(settings);
@@ -132,10 +132,9 @@
   const auto timeout = number_of<std::uint64_t>(header_value(message, "X-Timeout-Ms"),
                                                 "X-Timeout-Ms");
   if (timeout == 0 || timeout > limits::kMaxTimeoutMs) fail("X-Timeout-Ms is out of range");
-  a.time_left = std::chrono::milliseconds(timeout);
   a.body_pending = body_pending;
-  r.deadline = body_pending ? policy::RequestDeadline::pending(a.time_left)
-                            : policy::RequestDeadline::running(now, a.time_left);
+  r.deadline = policy::RequestDeadline::pending(std::chrono::milliseconds(timeout));
+  if (!body_pending) r.deadline.on_last_byte(received);
   read_quota(message, s, a);
   if (message.count("X-Retried") > 0) {
     if (header_value(message, "X-Retried") != "1") fail("X-Retried is not 1");
--- a/src/node/request_reader.hpp
+++ b/src/node/request_reader.hpp
@@ -22,9 +22,10 @@
   http::status status;
 };
 
-// Moves the body out of `message`. With `body_pending` the rest of the body is still to come, and
-// the request's time does not count yet. Throws RequestError, whose text names the field.
+// Moves the body out of `message`, whose last bytes were received at `received`. With
+// `body_pending` the rest of the body is still to come, and the request's time does not count yet.
+// Throws RequestError, whose text names the field.
 ClientRequest read_request(ParsedRequest& message, std::shared_ptr<const Settings> settings,
-                           Time now, bool body_pending);
+                           Time received, bool body_pending);
 
 }  // namespace petrelrail
--- a/src/policy/request_deadline.hpp
+++ b/src/policy/request_deadline.hpp
@@ -5,7 +5,7 @@
 //
 //   body                   its last byte has arrived when
 //   ---------------------  ------------------------------------------------------------------------
-//   none, or a short one   the request is taken, as it is read completely before that
+//   none, or a short one   it is read, though the request may wait behind one of its connection
 //   long, with a length    all that its length still announces lies in the socket's receive buffer
 //   long, in chunks        its last chunk is read, as nothing earlier tells which one is the last
 //
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -130,6 +130,23 @@
     EXPECT_GE(status(w), 500);
   }
 }
+// Guards against a request that waited behind an earlier one of its client being sent to a server
+// although the time that counts from its last byte is over.
+TEST_F(SlowUpload, ARequestThatWaitedBehindAnotherForItsWholeTimeIsNotForwarded) {
+  std::shared_ptr<Wire> first;
+  respond = [&](Wire& w, const std::string&) { first = w.shared_from_this(); };
+  start();
+  auto slow = unsafe_request(), waiting = unsafe_request();
+  waiting.id = "a2", waiting.timeout = "300";
+  const auto w = client();
+  w->send(slow.text() + waiting.text());
+  ASSERT_TRUE(loop.until([&] { return first != nullptr; }));
+  wait(400ms);
+  first->send(http_answer("200 OK", "served"));
+  EXPECT_EQ(status(w), 200);
+  EXPECT_EQ(status(w), 503);
+  EXPECT_EQ(received_requests.size(), 1u);
+}
 // Guards against a server that takes a connection and reads nothing: the client, whose last byte
 // the sockets hold, waited for 10 s whatever its timeout.
 TEST_F(SlowUpload, ABodyThatNoServerTakesIsAnsweredInItsTime) {
