The table of customers is bounded, and a state that flips is logged seldom

What callers saw: a node's process passed its memory limit and was killed with all their requests while one client named a new customer in each request.

The host may now bound the table (Gateway::set_max_customers). A full table evicts an eighth at once: leases without units first, then customers that came once, then the longest unused. Kept are leases that know what the counter does not: units granted without a counter or before a lease, a correction owed to the counter, what count under a ceiling shows a loss of counts. Where nothing can be evicted the newcomer is rejected (429, cause customers_full). A customer whose lease may have been evicted is not admitted before its lease. Leases that hold nothing are not handed over after an eviction.

--- a/include/petrelrail/actions.hpp
+++ b/include/petrelrail/actions.hpp
@@ -39,6 +39,8 @@
   best_effort,
   // The attempt failed without side effects, and no further attempt is allowed.
   attempt_failed,
+  // The table of customers is full of entries that can't be evicted.
+  customers_full,
 };
 // Final answer: rejected; a retry by the client is harmless.
 struct Reject {
--- a/include/petrelrail/gateway.hpp
+++ b/include/petrelrail/gateway.hpp
@@ -33,6 +33,7 @@
 struct TableSizes {
   std::size_t requests = 0, customers = 0, endpoints = 0, counter_calls = 0, timers = 0;
   std::size_t queued_counter_calls = 0;
+  std::uint64_t evicted_customers = 0;  // since the start
 };
 
 // Servers in the list, and those of them excluded by operators or by this gateway's own ejections.
@@ -68,6 +69,10 @@
   HandoverState export_state(Time now);
   // Called when the successor has ended: this gateway leases units as before.
   void resume();
+  // Bounds the table of customers, see TableSizes; without a call it is not bounded.
+  void set_max_customers(std::size_t max_customers);
+  // Upper bound of what one customer's entry takes, in bytes.
+  static std::size_t max_bytes_per_customer();
 
  private:
   class AdmissionController;
--- a/src/node/end_reason.hpp
+++ b/src/node/end_reason.hpp
@@ -25,13 +25,15 @@
   idle,               // no request for too long
   descriptor_needed,  // evicted to free its descriptor
   process_ends,       // this process drains, or a successor serves
+  memory_needed,      // closed to free what its incomplete request held
 };
-inline constexpr std::array<std::string_view, 12> kSessionEndNames{
+inline constexpr std::array<std::string_view, 13> kSessionEndNames{
     "client_closed",   "read_failed", "write_failed",     "answered",
     "answer_broke",    "malformed",   "request_too_long", "request_too_slow",
-    "reader_too_slow", "idle",        "descriptor",       "process_ends"};
+    "reader_too_slow", "idle",        "descriptor",       "process_ends",
+    "memory"};
 static_assert(kSessionEndNames.size() ==
-              static_cast<std::size_t>(SessionEndReason::process_ends) + 1);
+              static_cast<std::size_t>(SessionEndReason::memory_needed) + 1);
 
 // Of an attempt.
 enum class AttemptEndReason {
@@ -60,11 +62,11 @@
     "client_gone",     "cancelled"};
 static_assert(kAttemptEndNames.size() == static_cast<std::size_t>(AttemptEndReason::cancelled) + 1);
 
-inline constexpr std::array<std::string_view, 10> kRejectionReasonNames{
-    "quota_used", "open_cap",      "counter_silent", "counter_busy", "lease_timeout",
-    "no_server",  "place_timeout", "too_late",       "yields",       "attempt_failed"};
+inline constexpr std::array<std::string_view, 11> kRejectionReasonNames{
+    "quota_used",    "open_cap", "counter_silent", "counter_busy",   "lease_timeout", "no_server",
+    "place_timeout", "too_late", "yields",         "attempt_failed", "customers_full"};
 static_assert(kRejectionReasonNames.size() ==
-              static_cast<std::size_t>(RejectionReason::attempt_failed) + 1);
+              static_cast<std::size_t>(RejectionReason::customers_full) + 1);
 
 inline constexpr std::array<std::string_view, 8> kOutcomeNames{
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "never_sent"};
@@ -88,7 +90,8 @@
     case SessionEndReason::response_complete:
     case SessionEndReason::idle:
     case SessionEndReason::descriptor_needed:
-    case SessionEndReason::process_ends: return true;
+    case SessionEndReason::process_ends:
+    case SessionEndReason::memory_needed: return true;
     default: return false;
   }
 }
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -51,7 +51,8 @@
 TableSizes Gateway::AdmissionController::sizes() const {
   return {requests_.size(),  leases_.size(),
           endpoints_.size(), leases_.outstanding_calls(),
-          timers_.size(),    leases_.rate_limiter().queue_size()};
+          timers_.size(),    leases_.rate_limiter().queue_size(),
+          leases_.evicted()};
 }
 
 std::uint32_t Gateway::AdmissionController::best_effort_capacity(Time now) {
@@ -109,7 +110,7 @@
   auto& limiter = leases_.rate_limiter();
   if (!limiter.is_down()) return;
   limiter.on_recovered();
-  context_.log("counter answers again");
+  leases_.log_availability();
 }
 
 void Gateway::AdmissionController::on(const FleetView& event) {
@@ -183,10 +184,11 @@
   const bool metered = leases_.quota(request.quota.plan).metered;
   const bool limited = at(context_.settings.plans, request.quota.plan).max_concurrent > 0;
   if (!metered && !limited) return forward_first(request);
-  auto& lease = leases_.lease_of(request.quota);
-  if (limited && !take_slot(request, lease)) return;
+  auto* lease = leases_.find_or_create(request.quota);
+  if (!lease) return reject(request, reject_backoff(), RejectionReason::customers_full);
+  if (limited && !take_slot(request, *lease)) return;
   if (!metered) return forward_first(request);
-  admit_metered(request, lease);
+  admit_metered(request, *lease);
 }
 
 // The slot is taken before the lease, because all requests that wait for a lease are released at
--- a/src/policy/admission_controller.hpp
+++ b/src/policy/admission_controller.hpp
@@ -27,6 +27,7 @@
   std::uint32_t best_effort_capacity(Time now);
   HandoverState export_state(Time now);
   void resume() { leases_.resume(); }
+  void set_max_customers(std::size_t max) { leases_.set_max_leases(max); }
 
  private:
   using Request = policy::Request;
--- a/src/policy/gateway.cpp
+++ b/src/policy/gateway.cpp
@@ -22,5 +22,11 @@
 }
 HandoverState Gateway::export_state(Time now) { return controller_->export_state(now); }
 void Gateway::resume() { controller_->resume(); }
+void Gateway::set_max_customers(std::size_t max_customers) {
+  controller_->set_max_customers(max_customers);
+}
+std::size_t Gateway::max_bytes_per_customer() {
+  return policy::QuotaLeaseTable::max_bytes_per_lease();
+}
 
 }  // namespace petrelrail
--- a/src/policy/quota_lease.hpp
+++ b/src/policy/quota_lease.hpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <limits>
+#include <list>
 
 #include "petrelrail/handover_state.hpp"
 
@@ -55,7 +55,9 @@
   // Concurrency slots of plans that limit them, held by waiting and forwarded requests.
   std::uint32_t slots_in_use = 0;
   std::uint32_t slots_forwarded = 0;  // slots of forwarded requests
-  std::deque<QuotaRequest*> waiting;
+  // A lease of this customer may have been evicted: what it used before is not known.
+  bool history_unknown = false;
+  std::list<QuotaRequest*> waiting;
 
   // Starts without a window.
   QuotaLease() { state.current.window = std::numeric_limits<std::int64_t>::min(); }
--- a/src/policy/quota_lease_handover.cpp
+++ b/src/policy/quota_lease_handover.cpp
@@ -16,6 +16,7 @@
     state.plans.push_back({context_.settings.plans[i].name, quotas_[i].window});
   for (auto& [id, lease] : leases_) {
     if (quota(lease.state.plan).metered) roll_window(lease);
+    if (last_eviction_time_ && is_evictable(lease) && !holds_units(lease)) continue;
     state.leases.push_back(lease.state);
     state.leases.back().slot_release_times = std::move(slot_releases[id]);
     lease.state.current.held = 0;
--- a/src/policy/quota_lease_table.cpp
+++ b/src/policy/quota_lease_table.cpp
@@ -221,10 +221,8 @@
   const auto node = calls_.extract(response.key);
   if (!node) return nullptr;
   const CounterCall& call = node.mapped();
-  const bool was_down = rate_limiter_.is_down();
   rate_limiter_.on_response(context_.now, response.outcome, response.duration);
-  if (was_down != rate_limiter_.is_down())
-    context_.log(was_down ? "counter answers again" : "counter held to be down");
+  log_availability();
   auto* lease = find(call.lease);
   if (!lease) return nullptr;
   roll_window(*lease);
@@ -244,6 +242,7 @@
       state.current.admitted_before_lease)
     return false;
   if (context_.now < state.last_call_time + kUsageMemory) return state.demand_ratio <= 1;
+  if (lease.history_unknown) return false;
   return (state.recent_requests - 1) * request.gateways <=
          at(context_.settings.plans, request.plan).rate * seconds(kUsageMemory);
 }
@@ -253,7 +252,17 @@
   at(unsettled_units_, request.plan) += request.units;
 }
 
+void QuotaLeaseTable::log_availability() {
+  const auto report = availability_log_.update(context_.now, rate_limiter_.is_down());
+  if (!report) return;
+  std::string text = report->state ? "counter held to be down" : "counter answers again";
+  if (report->unreported > 0)
+    text += ", after " + std::to_string(report->unreported) + " changes that were not logged";
+  context_.log(std::move(text));
+}
+
 void QuotaLeaseTable::sweep() {
+  log_availability();
   while (!inherited_slots_.empty() && inherited_slots_.begin()->first <= context_.now) {
     auto* lease = find(inherited_slots_.begin()->second);
     if (lease && lease->slots_in_use > 0) --lease->slots_in_use;
--- a/src/policy/quota_lease_table.hpp
+++ b/src/policy/quota_lease_table.hpp
@@ -12,6 +12,7 @@
 #include "policy/counter_rate_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/quota_lease.hpp"
+#include "policy/transition_log.hpp"
 
 namespace petrelrail::policy {
 
@@ -33,6 +34,14 @@
   const QuotaLease* find(LeaseId id) const;
   // Returns the lease of the request's customer and plan; creates it if there is none.
   QuotaLease& lease_of(const QuotaRequest& request);
+  // Like lease_of(), but returns null if the table is full and no lease can be evicted.
+  QuotaLease* find_or_create(const QuotaRequest& request);
+
+  // ---- Size, see quota_lease_eviction.cpp
+  // Upper bound of what one lease takes, in bytes.
+  static std::size_t max_bytes_per_lease();
+  void set_max_leases(std::size_t max_leases) { max_leases_ = max_leases; }
+  std::uint64_t evicted() const { return evicted_; }
 
   // ---- Units
   // Records the demand of one request in the present window. Without a counter, this gateway's
@@ -86,6 +95,9 @@
   bool may_admit_before_lease(const QuotaRequest& request, const QuotaLease& lease) const;
   void admit_before_lease(const QuotaRequest& request, QuotaLease& lease);
 
+  // Logs whether the counter is considered down, if that has changed.
+  void log_availability();
+
   // Drops leases of past windows, so that one-time customers do not accumulate.
   void sweep();
 
@@ -118,6 +130,12 @@
   Time window_start(const QuotaLease& lease) const;
   void roll_window(QuotaLease& lease) const;
 
+  bool make_room();
+  bool is_evictable(const QuotaLease& lease) const;
+  static bool holds_units(const QuotaLease& lease) {
+    return lease.state.current.held > 0 || !lease.state.prefetched.empty();
+  }
+
   Demand demand_of(const QuotaLease& lease) const;
   double quantum_for(const QuotaLease& lease, const Demand& demand) const;
   void call_counter(QuotaLease& lease, std::int64_t window, double quantum, double amount);
@@ -143,6 +161,11 @@
   std::multimap<Time, LeaseId> inherited_slots_;
   Time counter_reset_ = Time::min();  // when the counter was last seen to have lost counts
   bool handed_over_ = false;          // a successor has taken over
+  TransitionLog<bool> availability_log_{false};  // of CounterRateLimiter::is_down()
+  std::size_t max_leases_ = std::numeric_limits<std::size_t>::max();
+  std::uint64_t evicted_ = 0;
+  std::optional<Time> last_eviction_time_;
+  Time next_eviction_time_ = Time::min();  // the last search found nothing to evict
 };
 
 }  // namespace petrelrail::policy
