What peers can make a node hold is bounded by a budget from limits.memory_mb

What callers saw: a node was killed for memory, and all its requests were lost, while some hundred clients stopped in the middle of bodies and header fields, wrote behind an open request or read long answers slowly. Cause: nothing tied what they can make it hold to limits.memory_mb, which src/node did not read.

policy::OverloadManager is the one account: sessions, header fields, bodies, accepted requests, answers, quota leases and lists that are being read are charged to it. Its stages (stop reading, shed, close) and its choice of victims, the largest incomplete requests, need no socket. An accepted request is never dropped. Fields of a message are limited to 100 (431), as a field of 5 bytes cost 60; a chunk's header to 8 KiB, which was buffered without end. Input behind an open request is left in the socket from 4 KiB on, and discarded from 32 KiB on, as the client's close may be behind it (64 KiB and more were kept).

--- a/src/node/client_request.hpp
+++ b/src/node/client_request.hpp
@@ -4,11 +4,13 @@
 
 #include <boost/beast/http/verb.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "petrelrail/events.hpp"
 #include "petrelrail/settings.hpp"
+#include "policy/overload_manager.hpp"
 #include "policy/request_deadline.hpp"
 #include "request_body_stream.hpp"
 
@@ -23,6 +25,12 @@
   std::string target, request_id, idempotency_key, content_type, body;
   std::shared_ptr<RequestBodyStream> body_stream;  // the rest of a long body
   std::shared_ptr<const Settings> settings;        // in force when it was read
+  std::optional<policy::MemoryAccount> memory;     // none: not a client's request
+
+  std::size_t bytes() const {
+    return limits::kRequestOverheadBytes + target.capacity() + request_id.capacity() +
+           idempotency_key.capacity() + content_type.capacity();
+  }
 
   std::string_view method_name() const {
     const auto name = http::to_string(method);
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -45,6 +45,7 @@
 #include "limits.hpp"
 #include "net.hpp"
 #include "petrelrail/gateway.hpp"
+#include "policy/overload_manager.hpp"
 
 namespace petrelrail {
 
@@ -85,6 +86,11 @@
   void set_agent(const Tcp::endpoint& agent, std::string host);
   // Applies a changed `drain_grace`. Pending waits are shortened to the new limits.
   void set_drain_grace(Duration drain_grace);
+  // The longest list that is read, and what the lists being read are charged to.
+  void limit_memory(std::size_t max_list_bytes, policy::MemoryAccount memory) {
+    max_list_bytes_ = max_list_bytes;
+    memory_ = std::move(memory);
+  }
   std::uint64_t revision() const { return revision_; }
   const limits::AgentLimits& limits() const { return limits_; }
   const Stats& stats() const { return stats_; }
@@ -122,6 +128,7 @@
   void on_failed(const ExchangeHandle& exchange, std::uint64_t& counter);
   void close(const ExchangeHandle& exchange);
   void close_polls();
+  void update_memory();
 
   asio::io_context& io_;
   Timers& timers_;
@@ -143,6 +150,8 @@
   Timers::Handle poll_timer_;       // unset while no polls are needed
   Duration backoff_{};
   Stats stats_;
+  std::size_t max_list_bytes_ = limits::kMaxJsonLineBytes;
+  std::optional<policy::MemoryAccount> memory_;
   bool log_malformed_ = true;  // only the first malformed list since a good one is logged
 };
 
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -12,11 +12,12 @@
 
 HttpServer::HttpServer(asio::io_context& io, Timers& timers,
                        std::shared_ptr<const Settings> settings, std::size_t max_sessions,
-                       Callbacks& owner)
+                       std::shared_ptr<policy::OverloadManager> overload, Callbacks& owner)
     : io_(io),
       timers_(timers),
       settings_(std::move(settings)),
       max_sessions_(max_sessions),
+      overload_(std::move(overload)),
       callbacks_(owner),
       acceptor_(io.get_executor()) {}
 
@@ -127,8 +128,63 @@
   if (!accept_pending_) accept();
 }
 
+void HttpServer::charge_request(ClientRequest& request) {
+  const auto bytes = request.bytes();
+  if (!overload_->may_accept(bytes + request.body.capacity())) {
+    on_shed(policy::SheddingReason::complete_request, request.request_id,
+            bytes + request.body.capacity());
+    throw RequestError(http::status::service_unavailable, "the node is short of memory");
+  }
+  request.memory.emplace(overload_);
+  request.memory->set(policy::MemoryKind::requests, bytes);
+  request.memory->set(policy::MemoryKind::bodies, request.body.capacity());
+}
+
+void HttpServer::shed_incomplete_requests() {
+  if (overload_->stage() < policy::OverloadStage::shed) return;
+  log_stage();
+  std::vector<std::shared_ptr<HttpSession>> sessions;
+  std::vector<policy::IncompleteRequest> requests;
+  for (const auto& session : sessions_) {
+    if (!session->has_incomplete_request()) continue;
+    requests.push_back({sessions.size(), session->held_bytes(), session->last_received_time()});
+    sessions.push_back(session);
+  }
+  const auto reason = overload_->stage() == policy::OverloadStage::close
+                          ? policy::SheddingReason::never_complete
+                          : policy::SheddingReason::incomplete_request;
+  for (const auto victim : overload_->choose_victims(std::move(requests)))
+    sessions[victim]->shed(reason);
+}
+
+void HttpServer::on_shed(policy::SheddingReason reason, const std::string& request_id,
+                         std::size_t bytes) {
+  overload_->count(reason);
+  const auto name = policy::kSheddingReasonNames.at(static_cast<std::size_t>(reason));
+  const std::initializer_list<log::Value> values{
+      {"request", request_id}, {"reason", std::string(name)}, {"bytes", std::to_string(bytes)}};
+  if (std::exchange(logs_next_shedding_, false))
+    log::warning("overload", "a request was shed, the first in this stage", values);
+  else
+    log::request("overload", "a request was shed", values);
+}
+
+void HttpServer::log_stage() {
+  const auto report = stage_log_.update(timers_.now(), overload_->stage());
+  if (!report) return;
+  logs_next_shedding_ = true;
+  const auto name = policy::kOverloadStageNames.at(static_cast<std::size_t>(report->state));
+  log::warning("overload", "the stage has changed",
+               {{"stage", std::string(name)},
+                {"held", std::to_string(overload_->total())},
+                {"budget", std::to_string(overload_->budget())},
+                {"changes_not_logged", std::to_string(report->unreported)}});
+}
+
 void HttpServer::sweep() {
   const Time now = timers_.now();
+  log_stage();
+  shed_incomplete_requests();
   const std::vector<std::shared_ptr<HttpSession>> all(sessions_.begin(), sessions_.end());
   for (const auto& s : all) {
     s->sweep(now);
--- a/src/node/http_server.hpp
+++ b/src/node/http_server.hpp
@@ -12,7 +12,9 @@
 #include "end_reason.hpp"
 #include "http_session.hpp"
 #include "net.hpp"
+#include "policy/overload_manager.hpp"
 #include "policy/request_state.hpp"
+#include "policy/transition_log.hpp"
 
 namespace petrelrail {
 
@@ -39,7 +41,8 @@
   };
 
   HttpServer(asio::io_context& io, Timers& timers, std::shared_ptr<const Settings> settings,
-             std::size_t max_sessions, Callbacks& owner);
+             std::size_t max_sessions, std::shared_ptr<policy::OverloadManager> overload,
+             Callbacks& owner);
 
   void listen(const Tcp::endpoint& at);
   // Accepts on a socket that already listens, and takes ownership of it.
@@ -77,6 +80,12 @@
   void shorten_deadline(ClientRequest& request) const;
   std::shared_ptr<HttpSession> eviction_candidate() const;
   void sweep();
+  // Throws RequestError if the request can't be accepted for want of memory, else charges it.
+  void charge_request(ClientRequest& request);
+  // Gives up incomplete requests while the node is short of memory.
+  void shed_incomplete_requests();
+  void on_shed(policy::SheddingReason reason, const std::string& request_id, std::size_t bytes);
+  void log_stage();
   void remove_session(const std::shared_ptr<HttpSession>& session);
   void resume_accepting();  // called when a session has ended or has become evictable
 
@@ -84,6 +93,9 @@
   Timers& timers_;
   std::shared_ptr<const Settings> settings_;
   std::size_t max_sessions_;
+  std::shared_ptr<policy::OverloadManager> overload_;
+  policy::TransitionLog<policy::OverloadStage> stage_log_{policy::OverloadStage::normal};
+  bool logs_next_shedding_ = true;  // the first one after a change of the stage
   Callbacks& callbacks_;
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
   Sessions sessions_;
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -21,7 +21,8 @@
       socket_(std::move(socket)),
       opened_time_(server.timers_.now()),
       last_received_time_(opened_time_),
-      last_progress_time_(opened_time_) {}
+      last_progress_time_(opened_time_),
+      memory_(server_.overload_) {}
 
 void HttpSession::start() {
   set_no_delay(socket_);
@@ -35,16 +36,69 @@
 
 void HttpSession::read() {
   if (read_pending_ || is_closed()) return;
+  const bool keeps_spare = body_stream_ && !server_.overload_->is_under_pressure();
+  if (buffer_.size() == 0 && buffer_.capacity() > 2 * limits::kReadBufferBytes && !keeps_spare)
+    buffer_.release_spare();
+  update_memory();
   if (body_stream_ && body_stream_->is_full())
     return body_stream_->pause_reading(server_.timers_.now());
+  if (!may_read()) {
+    if (!std::exchange(reading_paused_, true))
+      server_.overload_->count(policy::SheddingReason::input_paused);
+    return;
+  }
+  reading_paused_ = false;
   // The time during which the body buffer was full does not count against the client.
   if (body_stream_) request_started_time_ += body_stream_->resume_reading(server_.timers_.now());
   read_pending_ = true;
   socket_.async_read_some(
-      buffer_.prepare(body_stream_ ? limits::kStreamChunkBytes : limits::kReadBufferBytes),
+      buffer_.prepare(keeps_spare ? limits::kStreamChunkBytes : limits::kReadBufferBytes),
       [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
         self->on_read(failed, bytes);
       });
+  update_memory();
+}
+
+bool HttpSession::may_read() const {
+  if (state_ == State::lingering || body_stream_) return true;
+  if (state_ == State::reading) return server_.overload_->may_read(memory_.total());
+  return buffer_.size() < limits::kMaxReadAheadBytes || !keep_alive_;
+}
+
+void HttpSession::check_paused_reading() {
+  if (!reading_paused_ || read_pending_) return;
+  if (may_read()) return read();
+  client_is_connected();
+}
+
+bool HttpSession::is_far_ahead() const {
+  error_code failed;
+  return state_ != State::reading && state_ != State::lingering && !body_stream_ &&
+         socket_.available(failed) >= limits::kMaxUnreadInputBytes && !failed;
+}
+
+bool HttpSession::discard_input() {
+  keep_alive_ = false;
+  buffer_.clear();
+  std::array<char, limits::kReadBufferBytes> unread{};
+  for (std::size_t discarded = 0; discarded < limits::kMaxDiscardedBytes;) {
+    const auto bytes = retry_on_interrupt([&] {
+      return ::recv(socket_.native_handle(), unread.data(), unread.size(), MSG_DONTWAIT);
+    });
+    if (bytes == 0) return false;
+    if (bytes < 0) break;
+    discarded += static_cast<std::size_t>(bytes);
+  }
+  read();
+  return true;
+}
+
+void HttpSession::update_memory() {
+  using policy::MemoryKind;
+  memory_.set(MemoryKind::input, sizeof(HttpSession) + buffer_.capacity());
+  memory_.set(MemoryKind::fields, parser_ ? parser_->field_bytes() : 0);
+  memory_.set(MemoryKind::bodies, parser_ ? parser_->get().body().capacity() : 0);
+  memory_.set(MemoryKind::answers, pending_output_.capacity() + write_buffer_.capacity());
 }
 
 void HttpSession::on_read(const error_code& failed, std::size_t bytes) {
@@ -56,12 +110,7 @@
   buffer_.commit(bytes);
   last_received_time_ = server_.timers_.now();
   request_bytes_ += bytes;
-  // While a request is in flight at most one further message is buffered. Beyond that, input is
-  // discarded and the session ends with the response, but reading continues, because a close behind
-  // the input would not be noticed otherwise.
-  if (state_ != State::reading && !body_stream_ &&
-      buffer_.size() > limits::kMaxHeaderBytes + limits::kMaxBodyBytes)
-    keep_alive_ = false;
+  // Input behind a request that ends the session is discarded.
   if (state_ == State::lingering || (state_ != State::reading && !body_stream_ && !keep_alive_)) {
     buffer_.clear();
     if (request_bytes_ > limits::kMaxStreamedBodyBytes)
@@ -73,6 +122,7 @@
     on_body_data();
   }
   read();
+  server_.shed_incomplete_requests();
 }
 
 void HttpSession::parse() {
@@ -100,10 +150,10 @@
   while (!parser_->is_done() && buffer_.size() > 0) {
     const bool had_header = parser_->is_header_done();
     buffer_.consume(parser_->put(buffer_.data(), failed));
-    if (failed == http::error::need_more) return true;
-    if (failed == http::error::header_limit)
-      return reject(http::status::request_header_fields_too_large, "the header is too large"),
-             false;
+    // A chunk's header, or the trailer, is left in the buffer until it is complete.
+    if (failed == http::error::need_more && buffer_.size() < limits::kMaxHeaderBytes) return true;
+    if (failed == http::error::need_more || failed == http::error::header_limit)
+      return reject_header(), false;
     if (failed == http::error::body_limit)
       return reject(http::status::payload_too_large, "the body is too large"), false;
     if (failed) return reject(http::status::bad_request, failed.message()), false;
@@ -118,6 +168,13 @@
   return true;
 }
 
+void HttpSession::reject_header() {
+  const bool has_too_many_fields = parser_->has_too_many_fields();
+  if (has_too_many_fields) server_.overload_->count(policy::SheddingReason::too_many_fields);
+  reject(http::status::request_header_fields_too_large,
+         has_too_many_fields ? "the header has too many fields" : "the header is too large");
+}
+
 // Appends to the body of a request that is already being forwarded.
 void HttpSession::on_body_data() {
   if (!feed_parser()) return;
@@ -157,7 +214,8 @@
   } else {
     const auto length = parser_->content_length();
     body_stream_ = std::make_shared<RequestBodyStream>(
-        length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+        length ? std::optional<std::uint64_t>(*length) : std::nullopt,
+        policy::MemoryAccount(server_.overload_));
     body_stream_->set_capacity_callback([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->read();
     });
@@ -188,6 +246,7 @@
       request.body_stream = stream;
     }
     request_id_ = request.request_id;
+    server_.charge_request(request);
     const auto number = server_.callbacks_.on_request(std::move(request), shared_from_this());
     if (state_ == State::waiting) request_number_ = number;
     check_last_byte();
@@ -206,6 +265,18 @@
   write({status, message + "\n", "text/plain", {}});
 }
 
+void HttpSession::shed(policy::SheddingReason reason) {
+  std::string request_id;
+  if (parser_) request_id = parser_->get()["X-Request-ID"];
+  server_.on_shed(reason, request_id, memory_.total());
+  parser_.reset();
+  update_memory();
+  if (reason == policy::SheddingReason::never_complete)
+    return evict(SessionEndReason::memory_needed);
+  request_started_ = false;
+  reject(http::status::service_unavailable, "the node is short of memory");
+}
+
 void HttpSession::send(const Response& response) {
   request_number_ = 0;
   if (state_ == State::waiting) write(response);
@@ -278,8 +349,10 @@
   if (bytes_written_ == write_buffer_.size()) {
     bytes_written_ = 0;
     write_buffer_.clear();
+    if (server_.overload_->is_under_pressure()) write_buffer_ = {};
     std::swap(write_buffer_, pending_output_);
   }
+  update_memory();
   if (write_buffer_.empty()) {
     if (state_ == State::writing) on_response_written();
     return;
@@ -301,6 +374,7 @@
 
 void HttpSession::on_response_written() {
   write_buffer_ = {};
+  if (pending_output_.capacity() > limits::kReadBufferBytes) pending_output_ = {};
   if (!keep_alive_) return close_lingering(SessionEndReason::response_complete);
   enter(State::reading);
   parse();
@@ -314,10 +388,11 @@
   if (retry_on_interrupt([&] { return ::poll(&client, 1, 0); }) <= 0)
     return true;  // neither data nor a close
   char byte = 0;
-  const bool is_open = (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
-                       retry_on_interrupt([&] {
-                         return ::recv(client.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-                       }) != 0;
+  bool is_open = (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
+                 retry_on_interrupt([&] {
+                   return ::recv(client.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+                 }) != 0;
+  if (is_open && is_far_ahead()) is_open = discard_input();
   if (!is_open)
     asio::post(socket_.get_executor(),
                [self = shared_from_this()] { self->close(SessionEndReason::client_closed); });
@@ -402,6 +477,8 @@
 }
 
 void HttpSession::sweep(Time now) {
+  check_paused_reading();
+  if (pending_output_.empty() && write_pending_) pending_output_ = {}, update_memory();
   check_last_byte();  // it may have arrived while reading is paused
   if (state_ == State::streaming && !write_pending_) return;  // waits for the server
   if (state_ == State::waiting && body_stream_ && read_pending_ &&
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -2,15 +2,16 @@
 // end_reason.hpp. Created by HttpServer; Node writes the responses through ResponseSink.
 #pragma once
 
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "chunk_body.hpp"
 #include "end_reason.hpp"
+#include "field_limited_parser.hpp"
 #include "input_buffer.hpp"
 #include "net.hpp"
+#include "policy/overload_manager.hpp"
 #include "request_body_stream.hpp"
 #include "response_sink.hpp"
 
@@ -59,12 +60,31 @@
   Time last_progress_time() const { return last_progress_time_; }
   // Applies the time limits; called every limits::kSessionSweepInterval.
   void sweep(Time now);
+  // A part of a request was read, or lies unparsed in the buffer, and it was not accepted.
+  bool has_incomplete_request() const {
+    return state_ == State::reading && (request_started_ || buffer_.size() > 0);
+  }
+  std::size_t held_bytes() const { return memory_.total(); }
+  // Gives up the incomplete request to free its memory: answers 503, or closes at once.
+  void shed(policy::SheddingReason reason);
 
  private:
   enum class State { reading, waiting, streaming, writing, lingering, closed };
-  using Parser = http::request_parser<ChunkBody>;
+  using Parser = FieldLimitedParser<true>;
 
   void read();
+  // False while this session's input is left in the socket, see OverloadManager.
+  bool may_read() const;
+  // Reads on if reading was stopped, or notices that the client has closed meanwhile.
+  void check_paused_reading();
+  // More input lies unread behind the request in flight than the system is sure to hold with the
+  // close behind it.
+  bool is_far_ahead() const;
+  // Discards the input behind the request in flight, whose response ends the session. Returns false
+  // if the client has closed.
+  bool discard_input();
+  // Charges what this session holds.
+  void update_memory();
   void on_read(const error_code& failed, std::size_t bytes);
   void parse();
   bool feed_parser();
@@ -74,6 +94,8 @@
   bool body_has_arrived() const;
   // Starts the time of a request with a long body once its last byte has arrived.
   void check_last_byte();
+  // Answers a request whose header is too large or has too many fields.
+  void reject_header();
   // Answers a request that can't be parsed, or is too long or too slow, and ends the session.
   void reject(http::status status, const std::string& message);
   void write(const Response& response);
@@ -102,6 +124,7 @@
   bool request_started_ = false;    // a part of a request was read
   bool last_byte_arrived_ = false;  // of the request in flight, if its body is long
   bool read_pending_ = false;
+  bool reading_paused_ = false;  // see may_read()
   bool write_pending_ = false;
   bool response_is_chunked_ = false;  // a streamed response uses chunked coding
   // By chunks or a length, so that the client can tell when the response is truncated.
@@ -112,6 +135,7 @@
   std::uint64_t request_number_ = 0;            // from Callbacks::on_request; 0: none in flight
   std::string request_id_;                      // of the last request
   std::optional<SessionEndReason> end_reason_;  // once it is decided
+  policy::MemoryAccount memory_;
 };
 
 }  // namespace petrelrail
--- a/src/node/input_buffer.hpp
+++ b/src/node/input_buffer.hpp
@@ -12,6 +12,7 @@
 class InputBuffer {
  public:
   std::size_t size() const { return buffer_.size() - consumed_; }
+  std::size_t capacity() const { return buffer_.capacity(); }
   boost::asio::const_buffer data() const { return buffer_.data() + consumed_; }
 
   // Space for the next read; no read may be pending.
@@ -20,6 +21,12 @@
     consumed_ = 0;
     return buffer_.prepare(bytes);
   }
+  // Frees the memory beyond what is buffered; no read may be pending.
+  void release_spare() {
+    buffer_.consume(consumed_);
+    consumed_ = 0;
+    buffer_.shrink_to_fit();
+  }
   // The read has put that many bytes into the space.
   void commit(std::size_t bytes) { buffer_.commit(bytes); }
 
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -60,6 +60,18 @@
 inline constexpr std::uint64_t kMaxSocketBufferBytes = 16ULL << 20U;
 // Of a message's header; a request with a longer one is answered 431.
 inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
+// Of a message's header and trailer together; a request with more is answered 431.
+inline constexpr std::size_t kMaxHeaderFields = 100;
+// Of the parser's node for one field, and of the allocator.
+inline constexpr std::size_t kHeaderFieldOverheadBytes = 80;
+// What is read of a client's input while its request is in flight; the rest is left in the socket,
+inline constexpr std::size_t kMaxReadAheadBytes = 4 * 1024;
+// but from this size on it is discarded, as the client's close may be behind it,
+inline constexpr std::size_t kMaxUnreadInputBytes = 32 * 1024;
+// this much of it at once.
+inline constexpr std::size_t kMaxDiscardedBytes = 1024UL * 1024;
+// Of an accepted request, at the node and at the decision module, without its strings.
+inline constexpr std::size_t kRequestOverheadBytes = 2 * 1024;
 // Memory reserved for the header of a response.
 inline constexpr std::size_t kTypicalHeaderBytes = 192;
 // Read from a socket in one call.
@@ -183,6 +195,9 @@
 inline constexpr double kPullIntakeShare = 0.25;
 inline constexpr std::uint8_t kRecordSpaces = 8;
 
+// Of the unit of `memory_mb`.
+inline constexpr std::size_t kBytesPerMegabyte = 1024UL * 1024;
+
 // ---- The process --------------------------------------------------------------------------------
 // Of --check with a bad configuration, and of a command line that can't be parsed.
 inline constexpr int kBadInputExitStatus = 2;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -189,6 +189,9 @@
   c.discovery = parse_address(c.discovery_host, "discovery");
   const auto& limits = object_of(field(config, "limits"), "limits");
   c.descriptors = clamp_to_system_limit(positive_uint32(limits, "sockets"));
+  if (limits.contains("memory_mb"))
+    c.memory_limit = std::size_t{positive_uint32(limits, "memory_mb")} *
+                     petrelrail::limits::kBytesPerMegabyte;
   c.seed = hex(config, "seed");
   c.known_endpoints = object_of(field(config, "known"), "known");
   const auto& settings = object_of(field(config, "settings"), "settings");
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -159,6 +159,19 @@
   out.labelled("discovery_malformed", "kind", "member", stats.bad_members);
 }
 
+void write_overload(MetricsText& out, const policy::OverloadManager& overload,
+                    const TableSizes& tables) {
+  out.family("memory_bytes", "gauge");
+  for (std::size_t i = 0; i < policy::kMemoryKindNames.size(); ++i)
+    out.labelled("memory_bytes", "kind", policy::kMemoryKindNames[i], overload.held()[i]);
+  out.gauge("memory_peak_bytes", overload.peak());
+  out.gauge("memory_budget_bytes", overload.has_limit() ? overload.budget() : 0);
+  out.gauge("overload_stage", static_cast<std::uint64_t>(overload.stage()));
+  out.by_name("sheddings", "reason", policy::kSheddingReasonNames, overload.sheddings());
+  out.gauge("customers", tables.customers);
+  out.counter("customers_evicted", tables.evicted_customers);
+}
+
 void write_statuses(MetricsText& out, const char* name, const StatusCounts& counts) {
   out.family(name, "counter");
   for (const auto& [status, count] : counts)
@@ -200,6 +213,7 @@
   out.by_name("refusals", "cause", kRejectionReasonNames, rejections_.all());
   out.by_name("session_ends", "reason", kSessionEndNames, gauges.session_ends.all());
   out.by_name("attempt_ends", "reason", kAttemptEndNames, gauges.attempt_ends.all());
+  write_overload(out, gauges.overload, gauges.tables);
   out.counter("reload_success", reload_success_);
   out.counter("reload_failure", reload_failure_);
   return out.text();
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -14,6 +14,7 @@
 #include "end_reason.hpp"
 #include "gossip_transport.hpp"
 #include "log.hpp"
+#include "policy/overload_manager.hpp"
 #include "policy/request_state.hpp"
 
 namespace petrelrail {
@@ -35,6 +36,8 @@
     StatusCounts clients{}, control{};  // malformed requests, by the status of the response
     SessionEnds session_ends{};
     AttemptEnds attempt_ends{};
+    policy::OverloadManager overload{};
+    TableSizes tables{};
   };
 
   // Creates the counts of a class on first use; they are kept for the life of the process, even if
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,17 +33,20 @@
     : io_(io),
       config_(std::move(config)),
       timers_(io, clock_),
+      overload_(std::make_shared<policy::OverloadManager>(config_.memory_limit)),
+      table_memory_(overload_),
       upstream_(io, timers_, config_.settings.settings.connect_timeout, config_.keep_alive,
-                server_descriptors(config_), *this),
+                server_descriptors(config_), *this, overload_),
       gateway_(config_.settings.settings, config_.seed, &upstream_),
       discovery_(
           io, timers_, config_.discovery, config_.discovery_host, config_.settings.names.zones,
           [this](EndpointListKind kind, const auto& entries) { on_list_changed(kind, entries); },
           config_.settings.settings.drain_grace),
       http_server_(io, timers_, std::make_shared<const Settings>(config_.settings.settings),
-                   client_descriptors(config_), *this),
+                   client_descriptors(config_), overload_, *this),
       admin_server_(io, timers_, *this),
       hot_restart_(io, timers_, config_.handover_path, *this) {
+  limit_memory();
   for (const auto& c : config_.settings.settings.classes) metrics_.response_counts(c.name);
   if (config_.counter && config_.settings.settings.counter) counter_ = make_counter_client();
   if (config_.gossip)
@@ -63,6 +66,13 @@
       [this] { handle_event(CounterRecovered{}); }, config_.seed);
 }
 
+void Node::limit_memory() {
+  overload_->set_memory_limit(config_.memory_limit);
+  gateway_.set_max_customers(overload_->max_customers(Gateway::max_bytes_per_customer()));
+  discovery_.limit_memory(overload_->max_list_bytes(limits::kMaxJsonLineBytes),
+                          policy::MemoryAccount(overload_));
+}
+
 void Node::start(std::function<void()> replaced) {
   on_replaced_ = std::move(replaced);
   discovery_.start(config_.known_endpoints);
@@ -262,6 +272,8 @@
   }
   config_.settings.settings = config.settings.settings;
   config_.keep_alive = config.keep_alive;
+  config_.memory_limit = config.memory_limit;
+  limit_memory();
   apply_settings();
   if (config.discovery != config_.discovery) {
     config_.discovery = config.discovery;
@@ -370,6 +382,8 @@
     }
   }
   handling_events_ = false;
+  table_memory_.set(policy::MemoryKind::customers,
+                    gateway_.sizes().customers * Gateway::max_bytes_per_customer());
 }
 
 std::uint64_t Node::on_request(ClientRequest request, std::shared_ptr<HttpSession> session) {
@@ -530,7 +544,7 @@
        gossip_ && gossip_->started() ? gossip_.get() : nullptr,
        coordination_ && coordination_->cluster_state().started() ? coordination_.get() : nullptr,
        discovery_.stats(), http_server_.rejected_requests(), admin_server_.rejected_requests(),
-       http_server_.session_ends(), upstream_.attempt_ends()});
+       http_server_.session_ends(), upstream_.attempt_ends(), *overload_, gateway_.sizes()});
 }
 
 std::optional<std::string> Node::members_json() {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -20,6 +20,7 @@
 #include "metrics.hpp"
 #include "net.hpp"
 #include "petrelrail/gateway.hpp"
+#include "policy/overload_manager.hpp"
 #include "policy/request_state.hpp"
 #include "settings_reader.hpp"
 #include "upstream.hpp"
@@ -32,6 +33,7 @@
   std::string discovery_host;
   std::optional<Tcp::endpoint> counter, control;
   std::size_t descriptors = 0;
+  std::size_t memory_limit = 0;  // of the process, in bytes; 0: none
   std::uint64_t seed = 0;
   Duration keep_alive{};
   std::string handover_path;  // socket to which a successor connects; empty: no hand-over
@@ -144,6 +146,7 @@
   void join_cluster(const nlohmann::json* predecessor);
   void wait_until_drained();
   void fail_open_requests();
+  void limit_memory();
   void limit_descriptors(std::size_t used_by_clients, std::size_t used_by_servers);
   std::unique_ptr<CounterClient> make_counter_client();
 
@@ -159,6 +162,8 @@
   Timers::Handle overdue_timer_;
   Clock clock_;
   Timers timers_;
+  std::shared_ptr<policy::OverloadManager> overload_;
+  policy::MemoryAccount table_memory_;  // of the decision module's tables
   Upstream upstream_;
   Gateway gateway_;  // reads connection counts from upstream_
   std::unordered_map<RequestId, OpenRequest> open_requests_;
--- a/src/node/request_body_stream.hpp
+++ b/src/node/request_body_stream.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,24 +13,33 @@
 
 #include "limits.hpp"
 #include "petrelrail/types.hpp"
+#include "policy/overload_manager.hpp"
 
 namespace petrelrail {
 
 class RequestBodyStream {
  public:
-  explicit RequestBodyStream(std::optional<std::uint64_t> length) : length_(length) {}
+  // `memory` is charged for what is buffered; by default nothing limits it.
+  explicit RequestBodyStream(std::optional<std::uint64_t> length,
+                             policy::MemoryAccount memory =
+                                 policy::MemoryAccount(std::make_shared<policy::OverloadManager>()))
+      : length_(length), memory_(std::move(memory)) {}
 
   // Used by the session. The capacity callback is called when more may be appended.
   void append(std::string_view chunk) {
     buffered_.append(chunk);
     received_bytes_ += chunk.size();
+    memory_.set(policy::MemoryKind::bodies, buffered_.capacity());
     notify(on_data_);
   }
   // The last byte has arrived, though it may not have been appended yet.
   void on_last_byte() { notify(on_data_); }
   void finish() { complete_ = true, notify(on_data_); }
   void abort() { aborted_ = true, notify(on_data_); }
-  bool is_full() const { return buffered_.size() >= limits::kStreamChunkBytes; }
+  bool is_full() const {
+    return buffered_.size() >= (memory_.manager().is_under_pressure() ? limits::kReadBufferBytes
+                                                                      : limits::kStreamChunkBytes);
+  }
   // While the stream is full, the session reads nothing from its client.
   void pause_reading(Time now) {
     if (reading_paused_time_) return;
@@ -48,6 +58,7 @@
   std::string drain_chunk() {
     consumed_ = true;
     auto chunk = std::exchange(buffered_, {});
+    memory_.set(policy::MemoryKind::bodies, 0);
     if (!chunk.empty()) notify(on_capacity_);
     return chunk;
   }
@@ -72,6 +83,7 @@
   std::optional<std::uint64_t> length_;  // none: unknown
   std::uint64_t received_bytes_ = 0;
   std::string buffered_;
+  policy::MemoryAccount memory_;
   std::optional<Time> reading_paused_time_;
   std::function<void()> on_capacity_, on_data_;
   bool complete_ = false, aborted_ = false, consumed_ = false;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -7,13 +7,15 @@
 namespace petrelrail {
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout,
-                   Duration keep_alive, std::size_t max_connections, Callbacks& callbacks)
+                   Duration keep_alive, std::size_t max_connections, Callbacks& callbacks,
+                   std::shared_ptr<policy::OverloadManager> overload)
     : io_(io),
       timers_(timers),
       connect_timeout_(connect_timeout),
       keep_alive_(keep_alive),
       max_connections_(max_connections),
-      callbacks_(callbacks) {
+      callbacks_(callbacks),
+      overload_(std::move(overload)) {
   sweep_timer_ = timers_.after(limits::kPoolSweepInterval, [this] { sweep(); });
 }
 
@@ -165,7 +167,10 @@
 
 void Upstream::sweep() {
   const Time now = timers_.now();
-  for (auto& [id, t] : endpoints_) t.pool.close_expired(now, idle_limit());
+  for (auto& [id, t] : endpoints_) {
+    t.pool.close_expired(now, idle_limit());
+    for (const auto& c : t.pool.in_use()) c->release_spare_while_paused();
+  }
   std::erase_if(endpoints_,
                 [](const auto& e) { return !e.second.accepts_requests && e.second.pool.empty(); });
   sweep_timer_ = timers_.after(limits::kPoolSweepInterval, [this] { sweep(); });
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -10,6 +10,7 @@
 
 #include "connection_pool.hpp"
 #include "net.hpp"
+#include "policy/overload_manager.hpp"
 #include "upstream_connection.hpp"
 
 namespace petrelrail {
@@ -43,7 +44,9 @@
   };
 
   Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
-           std::size_t max_connections, Callbacks& callbacks);
+           std::size_t max_connections, Callbacks& callbacks,
+           std::shared_ptr<policy::OverloadManager> overload =
+               std::make_shared<policy::OverloadManager>());
   // Closes every connection without calling back.
   ~Upstream();
   Upstream(const Upstream&) = delete;
@@ -106,6 +109,7 @@
   std::size_t max_connections_;
   bool keep_idle_ = true;
   Callbacks& callbacks_;
+  std::shared_ptr<policy::OverloadManager> overload_;
   PoolStats stats_;
   AttemptEnds attempt_ends_;
   std::unordered_map<EndpointId, EndpointState> endpoints_;
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -32,7 +32,8 @@
     : upstream_(upstream),
       pool_(pool),
       incarnation_(pool.incarnation()),
-      socket_(io.get_executor()) {}
+      socket_(io.get_executor()),
+      memory_(upstream.overload_) {}
 
 void UpstreamConnection::open(const Tcp::endpoint& to, UpstreamExchange exchange) {
   exchange_ = std::move(exchange);
@@ -227,6 +228,7 @@
     append_chunk(body_chunk_, data);
   }
   if (!upload.length() && last) body_chunk_.append(kLastChunk);
+  update_memory();
   if (body_chunk_.empty() && !last) return;  // the data callback resumes
   write_pending_ = true;
   asio::async_write(socket_, asio::buffer(body_chunk_),
@@ -243,6 +245,7 @@
 
 // The server starts on the request now; its client has waited since the last byte arrived here.
 void UpstreamConnection::on_body_written() {
+  body_chunk_ = {};
   exchange_->started = upstream_.timers_.now();
   exchange_->deadline = exchange_->request_message->deadline.time();
   arm_deadline_timer();
@@ -251,8 +254,10 @@
 
 void UpstreamConnection::read() {
   if (state_ == State::closed || std::exchange(read_pending_, true)) return;
-  const auto space = buffer_.prepare(streaming_ ? limits::kStreamChunkBytes
-                                                : limits::kReadBufferBytes);
+  const bool reads_long_chunks = streaming_ && !upstream_.overload_->is_under_pressure();
+  const auto space = buffer_.prepare(reads_long_chunks ? limits::kStreamChunkBytes
+                                                       : limits::kReadBufferBytes);
+  update_memory();
   *static_cast<char*>(space.data()) = kUnwrittenMarker;
   pending_read_buffer_ = static_cast<const char*>(space.data());
   socket_.async_read_some(space,
@@ -313,6 +318,21 @@
   parser_->eager(true);
 }
 
+void UpstreamConnection::update_memory() {
+  using policy::MemoryKind;
+  memory_.set(MemoryKind::answers,
+              sizeof(UpstreamConnection) + buffer_.capacity() +
+                  (parser_ ? parser_->get().body().capacity() + parser_->field_bytes() : 0));
+  memory_.set(MemoryKind::bodies, body_chunk_.capacity() + request_head_.capacity());
+}
+
+void UpstreamConnection::release_spare_while_paused() {
+  if (!paused_ || read_pending_) return;
+  if (parser_->get().body().empty()) parser_->get().body() = {};
+  buffer_.shrink_to_fit();
+  update_memory();
+}
+
 // Returns false if the input is not a valid HTTP response.
 bool UpstreamConnection::feed_parser() {
   error_code parse_error;
@@ -348,9 +368,11 @@
   const auto& answer = parser_->get();
   if (answer.body().empty()) return false;
   const auto length = parser_->content_length();
+  const auto max_buffered = upstream_.overload_->is_under_pressure()
+                                ? limits::kReadBufferBytes
+                                : limits::kMaxBufferedResponseBytes;
   return answer.result() == http::status::ok && state_ == State::waiting &&
-         (answer.body().size() >= limits::kMaxBufferedResponseBytes ||
-          (length && *length > limits::kMaxBodyBytes) ||
+         (answer.body().size() >= max_buffered || (length && *length > limits::kMaxBodyBytes) ||
           (response_started_ != Time{} &&
            upstream_.timers_.now() - response_started_ >= limits::kMaxResponseBufferTime));
 }
@@ -380,6 +402,7 @@
     if (const auto self = weak.lock()) self->on_chunk_written();
   });
   body.clear();
+  if (upstream_.overload_->is_under_pressure()) release_spare_while_paused();
 }
 
 // Passes on the rest that was received of a broken response, so that the client's response ends
@@ -494,6 +517,7 @@
     // A connection that was acquired but not written to has been idle throughout, as its server
     // sees it.
     if (std::exchange(state_, State::idle) != State::idle) idle_since_ = upstream_.timers_.now();
+    if (std::exchange(streaming_, false) && !read_pending_) buffer_.shrink_to_fit();
     upstream_.return_idle(self, pool_);
   }
   if (exchange) upstream_.report_end(*exchange, outcome, reason, std::move(answer));
--- a/src/node/upstream_connection.hpp
+++ b/src/node/upstream_connection.hpp
@@ -5,12 +5,12 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 
 #include "connection_pool.hpp"
 #include "end_reason.hpp"
+#include "field_limited_parser.hpp"
 #include "http_server.hpp"
 #include "net.hpp"
 
@@ -46,6 +46,8 @@
   void abandon();
   // Called when the client has taken the last chunk: reading resumes.
   void on_chunk_written();
+  // Frees buffers that are empty while the client does not take the last chunk.
+  void release_spare_while_paused();
   // For an idle connection: whether the server still holds it open and has sent no unsolicited
   // data.
   bool is_usable();
@@ -58,6 +60,8 @@
 
   void start();
   void read();
+  // Charges what this connection holds.
+  void update_memory();
   void on_read(const error_code& failed, std::size_t bytes);
   void on_connection_broken(AttemptEndReason reason);
   AttemptOutcome outcome_before_written() const {
@@ -90,7 +94,7 @@
   ConnectionPool::ServerIncarnation incarnation_;
   Socket socket_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<ChunkBody>> parser_;
+  std::optional<FieldLimitedParser<false>> parser_;
   std::string request_head_;
   std::string body_chunk_;
   bool write_pending_ = false;  // of the head or a chunk of a streamed request body
@@ -110,6 +114,7 @@
   Time idle_since_{};
   // The pool's receive count when the request began, to detect a server that sends nothing at all.
   std::uint64_t receive_count_at_start_ = 0;
+  policy::MemoryAccount memory_;
 };
 
 }  // namespace petrelrail
--- a/src/policy/quota_lease_eviction.cpp
+++ b/src/policy/quota_lease_eviction.cpp
@@ -60,8 +60,7 @@
   std::vector<Rank> candidates;
   for (const auto& [id, lease] : leases_)
     if (is_evictable(lease))
-      candidates.emplace_back(lease.state.current.held > 0 || !lease.state.prefetched.empty(),
-                              lease.state.recent_requests >= kReturningRequests,
+      candidates.emplace_back(holds_units(lease), lease.state.recent_requests >= kReturningRequests,
                               lease.state.last_request_time, id);
   const auto batch = std::min(candidates.size(), max_leases_ / kEvictionDivisor + 1);
   if (batch == 0) {
