A client that stops in a long body is no time-out of its server

What callers saw: ordinary clients were refused (429, place_timeout) while others had stopped in the middle of long bodies. Cause: UpstreamConnection::arm_body_timer ended such an attempt as the server's time-out after 10 s although the server had taken all that came; each one shrinks the load balancer's concurrency limit by a tenth.

The attempt is cancelled (body_broke), unless the server has left a part unread.

--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -205,6 +205,9 @@
   deadline_timer_ = upstream_.timers_.at(body_write_deadline(), [self = shared_from_this()] {
     self->deadline_timer_.reset();
     if (self->body_write_deadline() > self->upstream_.timers_.now()) return self->arm_body_timer();
+    // The server has taken all that came: the client has stopped.
+    if (!self->write_pending_)
+      return self->close(AttemptOutcome::cancelled, AttemptEndReason::request_body_broken);
     self->close(AttemptOutcome::timeout, AttemptEndReason::timed_out);
   });
 }
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -115,6 +115,17 @@
     EXPECT_GE(std::chrono::steady_clock::now() - written, 500ms);
   }
 }
+// Guards against a client's stop counting as its server's time-out: a few such clients shrank the
+// capacity that the node gives to everybody else.
+TEST_F(SlowUpload, AClientThatStopsInALongBodyIsNoTimeoutOfItsServer) {
+  start();
+  const auto w = client();
+  w->send(request(Framing::length, 12 * limits::kMaxBodyBytes, "60000")
+              .start.substr(0, 10 * limits::kMaxBodyBytes));
+  EXPECT_TRUE(loop.until([&] { return !w->in.empty() || w->ended; }));
+  EXPECT_TRUE(has_metric("node_attempt_ends{reason=\"body_broke\"} 1"));
+  EXPECT_TRUE(has_metric("node_attempt_ends{reason=\"timed_out\"} 0"));
+}
 // Guards against a silent server that leaves a long request without an answer in its time.
 TEST_F(SlowUpload, ALongRequestToASilentServerIsAnsweredInItsTime) {
   start();
