A long answer in chunks is not cut off while its server writes

Cause: UpstreamConnection::arm_stall_timer took an answer without a length for a short one until 64 KiB were out.

The length is known, over the limit, or unknown. A short one whose server pauses for less than 1 s there is now answered late where it was cut off.

--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -55,6 +55,8 @@
 inline constexpr std::size_t kStreamChunkBytes = 16 * 1024;
 // A streamed body of which nothing arrives, or nothing is taken, for this long is aborted.
 inline constexpr Duration kStreamStallTimeout = 10s;
+// The same for a response of unknown length whose time is over.
+inline constexpr Duration kMaxLatePartInterval = 1s;
 // Upper bound of what the sockets of a client and of this node hold together; Linux's default
 // limits are 4 MiB and 6 MiB.
 inline constexpr std::uint64_t kMaxSocketBufferBytes = 16ULL << 20U;
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -422,15 +422,18 @@
   read();
 }
 
-// A long response may take any time as long as parts of it keep arriving. One within the usual size
-// limit is bound by the request's deadline: if it is not complete soon after that, it is ended and
-// its client sees it cut off.
-void UpstreamConnection::arm_stall_timer() {
+policy::ResponseLength UpstreamConnection::response_length() const {
   const auto length = parser_->content_length();
-  const bool is_short = (length ? *length : forwarded_bytes_) <= limits::kMaxBodyBytes;
+  if ((length ? *length : forwarded_bytes_) > limits::kMaxBodyBytes)
+    return policy::ResponseLength::over_limit;
+  return length ? policy::ResponseLength::within_limit : policy::ResponseLength::unknown;
+}
+
+// A response that is not complete in time is ended, and its client sees it cut off.
+void UpstreamConnection::arm_stall_timer() {
   const Time due = policy::response_stall_deadline(
-      exchange_->request_message->deadline, upstream_.timers_.now(), is_short,
-      limits::kStreamStallTimeout, limits::kMaxResponseLateness);
+      exchange_->request_message->deadline, upstream_.timers_.now(), response_length(),
+      {limits::kStreamStallTimeout, limits::kMaxResponseLateness, limits::kMaxLatePartInterval});
   upstream_.timers_.cancel(deadline_timer_);
   deadline_timer_ = upstream_.timers_.at(due, [self = shared_from_this()] {
     self->deadline_timer_.reset();
--- a/src/node/upstream_connection.hpp
+++ b/src/node/upstream_connection.hpp
@@ -79,6 +79,7 @@
   bool should_stream() const;
   void start_hold_timer();
   void start_streaming();
+  policy::ResponseLength response_length() const;
   void arm_stall_timer();
   void arm_deadline_timer();
   void arm_body_timer();
--- a/src/policy/request_deadline.hpp
+++ b/src/policy/request_deadline.hpp
@@ -86,14 +86,24 @@
                   progress.last_write_time + stall_timeout);
 }
 
-// When a response that is forwarded while it arrives ends unfinished if nothing more of it comes. A
-// long one may take any time as long as parts of it keep arriving; a short one has to be complete
-// `max_lateness` after its request's deadline.
-inline Time response_stall_deadline(const RequestDeadline& deadline, Time now, bool is_short,
-                                    Duration stall_timeout, Duration max_lateness) {
-  const Time stalled = now + stall_timeout;
-  if (!is_short || deadline.time() == Time::max()) return stalled;
-  return std::min(stalled, std::max(now, deadline.time() + max_lateness));
+// What is known of the length of a response that is forwarded while it arrives.
+enum class ResponseLength { within_limit, over_limit, unknown };
+struct ResponseLimits {
+  Duration stall_timeout{};      // without a part of a long response
+  Duration max_lateness{};       // of a short response, after its request's deadline
+  Duration max_part_interval{};  // of one that may turn out long, once its time is over
+};
+
+// When such a response ends unfinished if nothing more of it comes after `now`. A long one may take
+// any time as long as parts of it keep arriving; a short one has to be complete soon after its
+// request's deadline. One of unknown length may still be a long one: once its time is over, its
+// parts have to come faster.
+inline Time response_stall_deadline(const RequestDeadline& deadline, Time now,
+                                    ResponseLength length, const ResponseLimits& limits) {
+  const Time stalled = now + limits.stall_timeout;
+  if (length == ResponseLength::over_limit || deadline.time() == Time::max()) return stalled;
+  const Time next_part = length == ResponseLength::unknown ? now + limits.max_part_interval : now;
+  return std::min(stalled, std::max(next_part, deadline.time() + limits.max_lateness));
 }
 
 }  // namespace petrelrail::policy
--- a/tests/request_deadline_test.cpp
+++ b/tests/request_deadline_test.cpp
@@ -55,7 +55,10 @@
 // off while parts of it arrive.
 TEST(RequestDeadlineTest, AnUnfinishedAnswerEndsAtItsTimeOrWhenItStalls) {
   const auto due = [](const RequestDeadline& deadline, Duration after, bool is_short) {
-    return policy::response_stall_deadline(deadline, kStart + after, is_short, 10s, 400ms) - kStart;
+    const auto length = is_short ? policy::ResponseLength::within_limit
+                                 : policy::ResponseLength::over_limit;
+    return policy::response_stall_deadline(deadline, kStart + after, length, {10s, 400ms, 1s}) -
+           kStart;
   };
   const auto deadline = RequestDeadline::running(kStart, 2s);
   EXPECT_EQ(due(deadline, 1s, true), 2400ms);
@@ -63,6 +66,16 @@
   EXPECT_EQ(due(deadline, 3s, false), 13s);
   EXPECT_EQ(due(RequestDeadline::running(kStart, 60s), 1s, true), 11s);
 }
+TEST(RequestDeadlineTest, AnAnswerOfUnknownLengthGoesOnWhileItsPartsKeepComing) {
+  const auto due = [](Duration after) {
+    return policy::response_stall_deadline(RequestDeadline::running(kStart, 2s), kStart + after,
+                                           policy::ResponseLength::unknown, {10s, 400ms, 1s}) -
+           kStart;
+  };
+  EXPECT_EQ(due(1s), 2400ms);
+  EXPECT_EQ(due(2s), 3s);
+  EXPECT_EQ(due(30s), 31s);
+}
 // Guards against a retry being turned down, or a request reported as overdue, while it still
 // arrives.
 TEST(RequestStateTest, ARequestIsNotOverdueBeforeItsLastByte) {
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -115,6 +115,26 @@
     EXPECT_GE(std::chrono::steady_clock::now() - written, 500ms);
   }
 }
+// Guards against a long answer in chunks, written slowly, that is cut off once its time is over:
+// until 64 KiB were out it was taken for a short one.
+TEST_F(SlowUpload, ALongAnswerInChunksIsCompleteAlthoughItsServerWritesSlowly) {
+  start();
+  answer_complete_requests();
+  const std::string part(10'000, 'z');
+  constexpr std::size_t kParts = 20;
+  answer_text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(part);
+  const auto parts = request(Framing::length, 10, "500");
+  const auto w = client();
+  w->send(parts.start + parts.last_byte);
+  for (std::size_t i = 1; i < kParts; ++i) {
+    wait(150ms);
+    ASSERT_FALSE(w->ended) << i;
+    answered->send(chunk(part) + (i + 1 == kParts ? "0\r\n\r\n" : ""));
+  }
+  EXPECT_TRUE(loop.until([&] { return body_bytes(*w) == kParts * part.size() || w->ended; }));
+  EXPECT_EQ(body_bytes(*w), kParts * part.size());
+  EXPECT_TRUE(loop.until([&] { return w->in.ends_with("\r\n0\r\n\r\n"); }, 2s));
+}
 // Guards against a client's stop counting as its server's time-out: a few such clients shrank the
 // capacity that the node gives to everybody else.
 TEST_F(SlowUpload, AClientThatStopsInALongBodyIsNoTimeoutOfItsServer) {
