--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -16,7 +16,8 @@
   g++ -std=c++20 -O2 -fno-builtin-memcpy -fno-builtin-memmove -fno-tree-loop-distribute-patterns \
     -DBOOST_ASIO_SEPARATE_COMPILATION -DBOOST_BEAST_SEPARATE_COMPILATION -DBOOST_ASIO_NO_DEPRECATED \
     -I"$1/include" -I"$1/src" -I"$1/src/node" -I"$1/tests" "$1/bench/cost.cpp" \
-    "$2/libpetrelrail_node.a" "$2/libpetrelrail_gateway.a" -lpthread -ldl -o "$3"
+    "$2/libpetrelrail_node.a" "$2/libpetrelrail_fleet.a" "$2/libpetrelrail_gateway.a" -lsodium -lspdlog -lfmt -lpthread -ldl \
+    -o "$3"
 }
 build "$PWD" "$at/here" "$at/cost-here"
 build "$at/tree" "$at/there" "$at/cost-there"
--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -22,6 +22,7 @@
 #include <new>
 
 #include "gateway_fixture.hpp"
+#include "limits.hpp"
 #include "loopback_peers.hpp"
 #include "node.hpp"
 
@@ -162,6 +163,7 @@
     c.discovery = agent.endpoint(), c.discovery_host = agent.text(), c.counter = counter.endpoint(),
     c.control = c.listen;
     c.descriptors = 1024, c.seed = 1, c.keep_alive = 30s;
+    c.memory_limit = 192 * limits::kBytesPerMegabyte;
     c.settings.settings = settings();
     c.settings.settings.plans[0].rate = 1000, c.settings.settings.plans[0].burst = 4000;
     c.settings.settings.connect_timeout = 250ms;
