--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -28,6 +28,10 @@
 
 constexpr int kInvalidInputStatus = 2, kFailureStatus = 3;
 
+// Every third run of a soak has a crowd, if any has one.
+
+constexpr std::uint32_t kCrowdInterval = 3;
+
 // Set by the signal handler.
 
 volatile std::sig_atomic_t is_interrupted = 0;
@@ -51,7 +55,7 @@
 
 struct SoakArguments {
   std::uint64_t first_seed = 1;
-  std::uint32_t seeds = 10, nodes = 24;
+  std::uint32_t seeds = 10, nodes = 24, crowd = 0;
   double seconds = 15;
   std::string out, program;
 };
@@ -137,8 +141,11 @@
   std::uint32_t seeds_run = 0, with_findings = 0, void_seeds = 0;
   for (std::uint32_t i = 0; i < a.seeds && is_interrupted == 0; ++i) {
     Options o;
-    const SoakConfig terms{
-        .seed = a.first_seed + i, .nodes = a.nodes, .seconds = a.seconds, .extended = true};
+    const SoakConfig terms{.seed = a.first_seed + i,
+                           .nodes = a.nodes,
+                           .seconds = a.seconds,
+                           .extended = true,
+                           .crowd_per_node = i % kCrowdInterval == 0 ? a.crowd : 0};
     o.scenario = soak_scenario(terms);
     o.seed = terms.seed, o.processes = true;
     o.program = a.program.empty() ? path_beside_executable("petrelrail")
@@ -351,6 +358,11 @@
   soak_command->add_option("--seconds", soak_arguments.seconds, "that clients ask for")
       ->check(CLI::Range(2.0, 600.0))
       ->capture_default_str();
+  soak_command
+      ->add_option("--crowd", soak_arguments.crowd,
+                   "in every third run, connections to each node that make it hold much")
+      ->check(CLI::Range(0, 500))
+      ->capture_default_str();
   soak_command->add_option("--out", soak_arguments.out, "folder for each seed's events and logs");
   soak_command->add_option("--program", soak_arguments.program,
                            "the edge node to start; by default the one beside this tool");
--- a/lab/process_runtime.cpp
+++ b/lab/process_runtime.cpp
@@ -523,7 +523,8 @@
       io_(io),
       agenda_(agenda),
       folder_(std::move(folder)),
-      nodes_(options.scenario.fleet.nodes) {
+      nodes_(options.scenario.fleet.nodes),
+      crowd_(io, options.scenario.clients.crowd_per_node) {
   if (access(options.program.c_str(), X_OK) != 0)
     throw std::runtime_error("the program " + options.program.string() +
                              " can't be run (--program names another)");
@@ -914,9 +915,19 @@
     for (std::string line; std::getline(log, line);)
       if (line.find("rules: a step was turned down") != std::string::npos) found.push_back(line);
   }
+  for (const auto node : over_memory_)
+    found.push_back("node " + std::to_string(node) + " held more than its limit of memory");
   return found;
 }
 
+void ProcessRuntime::check_memory([[maybe_unused]] std::uint32_t node,
+                                  [[maybe_unused]] const Child::Usage& usage) {
+#ifndef __SANITIZE_ADDRESS__  // the sanitizer's own memory exceeds the limit
+  if (usage.memory_mb > static_cast<double>(options_.scenario.fleet.memory_mb))
+    over_memory_.insert(node);
+#endif
+}
+
 void ProcessRuntime::poll_processes(bool should_measure) {
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     auto& n = nodes_[i];
@@ -929,7 +940,12 @@
       if (const auto status = n.successor->poll_wait_status())
         record_crash(i, *n.successor, *status), n.successor.reset();
     if (!n.child) continue;
-    if (should_measure) on_usage_(i, n.child->usage());
+    if (should_measure) {
+      on_usage_(i, n.child->usage());
+      check_memory(i, n.child->usage());
+    }
+    const bool serves = n.is_ready && !n.is_stalled && !n.is_terminating;
+    if (serves && options_.scenario.clients.crowd_per_node > 0) crowd_.keep(n.listen);
     if (const auto status = n.child->poll_wait_status()) {
       if (*status != 0 || !n.is_ready) record_crash(i, *n.child, *status);
       n.child.reset();
--- a/lab/process_runtime.hpp
+++ b/lab/process_runtime.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "child.hpp"
+#include "crowd.hpp"
 #include "experiment.hpp"
 #include "wire.hpp"
 
@@ -98,6 +99,7 @@
   void open_counter(std::uint32_t node);
   void receive_datagrams(std::uint32_t node);
   void forward(const world::ClientAttempt& client_attempt);
+  void check_memory(std::uint32_t node, const Child::Usage& usage);
   void record_crash(std::uint32_t node, const Child& child, int status);
   std::string entry_json(std::uint32_t node, const world::Entry& entry) const;
   std::string list_json(std::uint32_t node, std::span<const world::Entry> entries,
@@ -120,6 +122,8 @@
   std::uint64_t answers_ = 0;                           // of price servers
   std::string crash_;
   std::uint64_t drawn_seeds_ = 0;
+  Crowd crowd_;
+  std::set<std::uint32_t> over_memory_;  // nodes that held more than their limit
   std::function<void(std::uint32_t, Child::Usage)> on_usage_ = [](std::uint32_t, Child::Usage) {};
 };
 
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -23,6 +23,7 @@
 constexpr Range kFaultSeconds{0.5, 4}, kAffectedShare{0.1, 0.4}, kFaultFactor{1.5, 4};
 constexpr double kSecondsInHour = 3600;
 constexpr double kDrainNoticeSeconds = 1.5;  // until most drains are in discovery's list
+constexpr std::uint64_t kMinMemoryMb = 32;   // TERMS, "Resources"
 constexpr double kMinServedShare = 0.2;      // of the requests; a run below it is void
 
 Selector share_of(Selector::Kind kind, double share) {
@@ -127,6 +128,10 @@
   for (auto n = kMinFaults + dice.below(kMaxExtraFaults); n > 0; --n)
     scenario.faults.push_back(draw_fault(dice, config.seconds));
   if (config.extended) extend(scenario, dice.stream("extended"));
+  if (config.crowd_per_node > 0) {
+    scenario.clients.crowd_per_node = config.crowd_per_node;
+    scenario.fleet.memory_mb = kMinMemoryMb;
+  }
   std::ranges::sort(scenario.faults, {}, &Fault::at);
   return scenario;
 }
--- a/lab/soak.hpp
+++ b/lab/soak.hpp
@@ -22,6 +22,8 @@
   // discovery's lists are late. Without it, a seed draws the same scenario as before these existed,
   // which the tests' first seeds rely on.
   bool extended = false;
+  // Further connections to each node, which has the least memory of DEPLOY then; see crowd.hpp.
+  std::uint32_t crowd_per_node = 0;
 };
 
 // Draws a scenario: configuration of clients and servers, forms of answers, failing system calls
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -104,6 +104,8 @@
   // Clients use connections that a node leaves open after SIGTERM until it is killed; process
   // runtime only.
   bool reuses_draining_connections = false;
+  // Further connections to each node that make it hold as much as they can; process runtime only.
+  std::uint32_t crowd_per_node = 0;
   std::vector<PlanConfig> plans;
 };
 
--- a/tests/overload_fixture.hpp
+++ b/tests/overload_fixture.hpp
@@ -26,18 +26,18 @@
     Hostility::slow_reader,         Hostility::whole_body,        Hostility::half_long_body,
     Hostility::endless_chunk_header};
 
-inline void PrintTo(Hostility kind, std::ostream* out) {
+inline std::ostream& operator<<(std::ostream& out, Hostility kind) {
   constexpr std::array names{"half_body",           "unfinished_fields", "input_behind_request",
                              "slow_reader",         "whole_body",        "half_long_body",
                              "endless_chunk_header"};
-  *out << names.at(static_cast<std::size_t>(kind));
+  return out << names.at(static_cast<std::size_t>(kind));
 }
 
 struct ProcessLimits {
   std::size_t memory_mb = 0, descriptors = 0;
 };
-inline void PrintTo(const ProcessLimits& limits, std::ostream* out) {
-  *out << limits.memory_mb << "MB_" << limits.descriptors;
+inline std::ostream& operator<<(std::ostream& out, const ProcessLimits& limits) {
+  return out << limits.memory_mb << "MB_" << limits.descriptors;
 }
 
 // Writes requests on one connection at full speed and discards the answers, on a thread of its own.
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -48,6 +48,23 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::Values(1, 2, 3));
 
+// Guards against a node of the least memory that a crowd of hostile clients ends, or that breaks a
+// promise to others beside it, under overlapping faults and series of signals.
+TEST(SoakWithACrowd, NoRuleIsBrokenAndNoLimitPassed) {
+  Options options;
+  options.seed = 9001;
+  options.scenario = soak_scenario(
+      {.seed = options.seed, .nodes = 4, .seconds = 8, .extended = true, .crowd_per_node = 60});
+  options.processes = true;
+  options.program = PETRELRAIL_PROGRAM, options.system_faults = SYSTEM_FAULTS;
+  auto played = run_scenario(options);
+  for (int again = 0; again < kPlaysAgain && !played.void_reason.empty(); ++again)
+    played = run_scenario(options);
+  ASSERT_EQ(played.void_reason, "");
+  EXPECT_EQ(soak_findings(played), std::vector<std::string>{});
+  EXPECT_GT(played.figures["figures"]["served"].get<double>(), 0);
+}
+
 // Guards against a simulated client that sends its request after it has disconnected, which made
 // the lab report "was sent on after its client had left" on seed 3.
 TEST(LabClients, OneThatHasLeftSendsNothing) {
