The hand-over carries ids that are not text

Ids of requests are bytes that clients choose; as a JSON string one that is not UTF-8 would have ended the hand-over with an exception (found by reading). They travel as numbers. Test: Upgrade.ARequestInFlightThatComesAgainDoesNotRunTwice, with such an id: 409 at the new process, passes; not run with the string. What the history holds is charged with each event, so that it falls again.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -389,6 +389,7 @@
   handling_events_ = false;
   table_memory_.set(policy::MemoryKind::customers,
                     gateway_.sizes().customers * Gateway::max_bytes_per_customer());
+  table_memory_.set(policy::MemoryKind::requests, history_.bytes());
 }
 
 std::uint64_t Node::on_request(ClientRequest request, std::shared_ptr<HttpSession> session) {
@@ -433,7 +434,9 @@
 nlohmann::json Node::unanswered_requests() const {
   auto all = nlohmann::json::array();
   const auto add = [&](const policy::RequestHistory::Entry& entry) {
-    all.push_back({entry.id, static_cast<int>(entry.idempotency), static_cast<int>(entry.scope),
+    // Clients choose the bytes of an id, which need not be text.
+    const std::vector<std::uint8_t> id(entry.id.begin(), entry.id.end());
+    all.push_back({id, static_cast<int>(entry.idempotency), static_cast<int>(entry.scope),
                    entry.deduplication_deadline.time_since_epoch().count(),
                    entry.forget_time.time_since_epoch().count()});
   };
@@ -451,11 +454,14 @@
 }
 
 void Node::restore_unanswered(const nlohmann::json& unanswered) {
-  for (const auto& entry : unanswered)
-    history_.remember({entry.at(0), static_cast<Idempotency>(entry.at(1).get<int>()),
+  for (const auto& entry : unanswered) {
+    const auto id = entry.at(0).get<std::vector<std::uint8_t>>();
+    history_.remember({std::string(id.begin(), id.end()),
+                       static_cast<Idempotency>(entry.at(1).get<int>()),
                        static_cast<DeduplicationScope>(entry.at(2).get<int>()),
                        Time(Duration(entry.at(3).get<Duration::rep>())),
                        Time(Duration(entry.at(4).get<Duration::rep>()))});
+  }
 }
 
 std::uint64_t Node::accept_request(ClientRequest request, std::shared_ptr<ResponseSink> sink) {
@@ -821,11 +827,9 @@
   const auto& message = *open.request_message;
   // A server starts on a request once its last byte has arrived.
   if (open.client_has_left && open.was_written && open.state.may_have_run() &&
-      policy::RequestHistory::is_relevant(message.request_class())) {
+      policy::RequestHistory::is_relevant(message.request_class()))
     history_.remember(timers_.now(), message.request_id, message.request_class(),
                       open.state.first_forwarded_time());
-    table_memory_.set(policy::MemoryKind::requests, history_.bytes());
-  }
   open_requests_.erase(it);
 }
 
--- a/tests/hot_restart_fixture.hpp
+++ b/tests/hot_restart_fixture.hpp
@@ -34,8 +34,8 @@
     }
   }
   // Sends one request on the connection and returns the response.
-  std::string response_on(const std::shared_ptr<Wire>& w) {
-    w->send(ask());
+  std::string response_on(const std::shared_ptr<Wire>& w, const std::string& request = ask()) {
+    w->send(request);
     EXPECT_TRUE(
         loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }));
     return w->message();
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -188,6 +188,23 @@
   EXPECT_TRUE(response_on(fresh).starts_with("HTTP/1.1 200"));
   EXPECT_TRUE(response_on(loop.connect(listen)).starts_with("HTTP/1.1 200"));
 }
+// Guards against a request in flight at the old process that runs a second time, as its client
+// turns to the new one; ids need not be text.
+TEST_F(Upgrade, ARequestInFlightThatComesAgainDoesNotRunTwice) {
+  config["settings"]["grades"][0]["idempotency"] = "unsafe";
+  start(old_control);
+  auto text = ask();
+  text.replace(0, 3, "POST");
+  text.replace(text.find(": a1\r\n"), 6, ": a\xff\r\nContent-Length: 0\r\n");
+  answers = false;
+  const auto first = loop.connect(listen);
+  first->send(text);
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  answers = true;
+  upgrade();
+  first->close();
+  EXPECT_TRUE(response_on(loop.connect(listen), text).starts_with("HTTP/1.1 409"));
+}
 // Guards against connections lost in the listen queue: a connection that waits there while one
 // process stops accepting is accepted by the other.
 TEST_F(Upgrade, NoConnectionIsLost) {
