One loop discards received input, and a session charges its memory once a read

HttpSession::discard_input had written evict()'s loop over recv a second time: both call discard_received(). A session charged what it holds twice a read and once more before a response's end: once each now. Node built a second RequestHistory only to form entries for the hand-over: RequestHistory::make_entry forms them, and a history, whose index points into itself, can't be copied. The budget is set in one place, the size of a request added up once; the lab reads a process's usage once a measurement.

--- a/lab/process_runtime.cpp
+++ b/lab/process_runtime.cpp
@@ -941,8 +941,9 @@
         record_crash(i, *n.successor, *status), n.successor.reset();
     if (!n.child) continue;
     if (should_measure) {
-      on_usage_(i, n.child->usage());
-      check_memory(i, n.child->usage());
+      const auto usage = n.child->usage();
+      on_usage_(i, usage);
+      check_memory(i, usage);
     }
     const bool serves = n.is_ready && !n.is_stalled && !n.is_terminating;
     if (serves && options_.scenario.clients.crowd_per_node > 0) crowd_.keep(n.listen);
--- a/src/node/client_request.hpp
+++ b/src/node/client_request.hpp
@@ -27,6 +27,7 @@
   std::shared_ptr<const Settings> settings;        // in force when it was read
   std::optional<policy::MemoryAccount> memory;     // none: not a client's request
 
+  // What it takes without its body.
   std::size_t bytes() const {
     return limits::kRequestOverheadBytes + target.capacity() + request_id.capacity() +
            idempotency_key.capacity() + content_type.capacity();
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -129,15 +129,15 @@
 }
 
 void HttpServer::charge_request(ClientRequest& request) {
-  const auto bytes = request.bytes();
-  if (!overload_->may_accept(bytes + request.body.capacity())) {
-    on_shed(policy::SheddingReason::complete_request, request.request_id,
-            bytes + request.body.capacity());
+  const auto body_bytes = request.body.capacity();
+  const auto bytes = request.bytes() + body_bytes;
+  if (!overload_->may_accept(bytes)) {
+    on_shed(policy::SheddingReason::complete_request, request.request_id, bytes);
     throw RequestError(http::status::service_unavailable, "the node is short of memory");
   }
   request.memory.emplace(overload_);
-  request.memory->set(policy::MemoryKind::requests, bytes);
-  request.memory->set(policy::MemoryKind::bodies, request.body.capacity());
+  request.memory->set(policy::MemoryKind::requests, bytes - body_bytes);
+  request.memory->set(policy::MemoryKind::bodies, body_bytes);
 }
 
 void HttpServer::shed_incomplete_requests() {
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -39,13 +39,14 @@
   const bool keeps_spare = body_stream_ && !server_.overload_->is_under_pressure();
   if (buffer_.size() == 0 && buffer_.capacity() > 2 * limits::kReadBufferBytes && !keeps_spare)
     buffer_.release_spare();
-  update_memory();
-  if (body_stream_ && body_stream_->is_full())
+  if (body_stream_ && body_stream_->is_full()) {
+    update_memory();
     return body_stream_->pause_reading(server_.timers_.now());
+  }
   if (!may_read()) {
     if (!std::exchange(reading_paused_, true))
       server_.overload_->count(policy::SheddingReason::input_paused);
-    return;
+    return update_memory();
   }
   reading_paused_ = false;
   // The time during which the body buffer was full does not count against the client.
@@ -59,9 +60,13 @@
   update_memory();
 }
 
-bool HttpSession::may_read() const {
+bool HttpSession::may_read() {
   if (state_ == State::lingering || body_stream_) return true;
-  if (state_ == State::reading) return server_.overload_->may_read(memory_.total());
+  if (state_ == State::reading) {
+    if (!server_.overload_->is_under_pressure()) return true;
+    update_memory();
+    return server_.overload_->may_read(memory_.total());
+  }
   return buffer_.size() < limits::kMaxReadAheadBytes || !keep_alive_;
 }
 
@@ -80,16 +85,20 @@
 bool HttpSession::discard_input() {
   keep_alive_ = false;
   buffer_.clear();
+  if (!discard_received(limits::kMaxDiscardedBytes)) return false;
+  read();
+  return true;
+}
+
+bool HttpSession::discard_received(std::size_t max_bytes) {
   std::array<char, limits::kReadBufferBytes> unread{};
-  for (std::size_t discarded = 0; discarded < limits::kMaxDiscardedBytes;) {
-    const auto bytes = retry_on_interrupt([&] {
+  for (auto n = max_bytes / unread.size(); n > 0; --n) {
+    const auto receive = [&] {
       return ::recv(socket_.native_handle(), unread.data(), unread.size(), MSG_DONTWAIT);
-    });
-    if (bytes == 0) return false;
-    if (bytes < 0) break;
-    discarded += static_cast<std::size_t>(bytes);
+    };
+    const auto bytes = retry_on_interrupt(receive);
+    if (bytes <= 0) return bytes < 0;
   }
-  read();
   return true;
 }
 
@@ -352,11 +361,11 @@
     if (server_.overload_->is_under_pressure()) write_buffer_ = {};
     std::swap(write_buffer_, pending_output_);
   }
-  update_memory();
   if (write_buffer_.empty()) {
-    if (state_ == State::writing) on_response_written();
-    return;
+    if (state_ == State::writing) return on_response_written();
+    return update_memory();
   }
+  update_memory();
   write_pending_ = true;
   socket_.async_write_some(
       asio::buffer(write_buffer_.data() + bytes_written_, write_buffer_.size() - bytes_written_),
@@ -417,13 +426,7 @@
   error_code failed;
   if (state_ == State::reading && !has_no_unread_input()) reject_immediately();
   socket_.shutdown(Socket::shutdown_send, failed);
-  std::array<char, limits::kReadBufferBytes> unread{};
-  for (auto n = limits::kMaxBodyBytes / unread.size(); n > 0; --n) {
-    const auto read = [&] {
-      return ::recv(socket_.native_handle(), unread.data(), unread.size(), MSG_DONTWAIT);
-    };
-    if (retry_on_interrupt(read) <= 0) break;
-  }
+  discard_received(limits::kMaxBodyBytes);
   close(reason);
 }
 
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -74,7 +74,7 @@
 
   void read();
   // False while this session's input is left in the socket, see OverloadManager.
-  bool may_read() const;
+  bool may_read();
   // Reads on if reading was stopped, or notices that the client has closed meanwhile.
   void check_paused_reading();
   // More input lies unread behind the request in flight than the system is sure to hold with the
@@ -83,6 +83,9 @@
   // Discards the input behind the request in flight, whose response ends the session. Returns false
   // if the client has closed.
   bool discard_input();
+  // Reads and discards up to that much of what was received. Returns false if the client has
+  // closed.
+  bool discard_received(std::size_t max_bytes);
   // Charges what this session holds.
   void update_memory();
   void on_read(const error_code& failed, std::size_t bytes);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,7 +34,7 @@
     : io_(io),
       config_(std::move(config)),
       timers_(io, clock_),
-      overload_(std::make_shared<policy::OverloadManager>(config_.memory_limit)),
+      overload_(std::make_shared<policy::OverloadManager>()),
       table_memory_(overload_),
       upstream_(io, timers_, config_.settings.settings.connect_timeout, config_.keep_alive,
                 server_descriptors(config_), *this, overload_),
@@ -431,6 +431,13 @@
   return true;
 }
 
+policy::RequestHistory::Entry Node::history_entry(const OpenRequest& open) const {
+  const auto& message = *open.request_message;
+  return policy::RequestHistory::make_entry(timers_.now(), message.request_id,
+                                            message.request_class(),
+                                            open.state.first_forwarded_time());
+}
+
 nlohmann::json Node::unanswered_requests() const {
   auto all = nlohmann::json::array();
   const auto add = [&](const policy::RequestHistory::Entry& entry) {
@@ -442,14 +449,9 @@
   };
   for (const auto& entry : history_.entries()) add(entry);
   // Requests that are open here are answered here, but their clients may turn to the successor.
-  policy::RequestHistory open;
-  for (const auto& [id, request] : open_requests_) {
-    const auto& message = *request.request_message;
-    if (policy::RequestHistory::is_relevant(message.request_class()))
-      open.remember(timers_.now(), message.request_id, message.request_class(),
-                    request.state.first_forwarded_time());
-  }
-  for (const auto& entry : open.entries()) add(entry);
+  for (const auto& [id, open] : open_requests_)
+    if (policy::RequestHistory::is_relevant(open.request_message->request_class()))
+      add(history_entry(open));
   return all;
 }
 
@@ -824,12 +826,10 @@
       it->second.state.outstanding_attempts() > 0)
     return;
   const auto& open = it->second;
-  const auto& message = *open.request_message;
   // A server starts on a request once its last byte has arrived.
   if (open.client_has_left && open.was_written && open.state.may_have_run() &&
-      policy::RequestHistory::is_relevant(message.request_class()))
-    history_.remember(timers_.now(), message.request_id, message.request_class(),
-                      open.state.first_forwarded_time());
+      policy::RequestHistory::is_relevant(open.request_message->request_class()))
+    history_.remember(history_entry(open));
   open_requests_.erase(it);
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -140,6 +140,7 @@
   void refuse_repeat(const ClientRequest& request);
   bool release_abandoned(RequestId abandoned, const ClientRequest& request);
   std::optional<RequestId> find_abandoned(const std::string& request_id);
+  policy::RequestHistory::Entry history_entry(const OpenRequest& open) const;
   nlohmann::json unanswered_requests() const;
   void restore_unanswered(const nlohmann::json& unanswered);
   void on_invariant_violation(policy::InvariantViolation violation,
--- a/src/policy/request_history.cpp
+++ b/src/policy/request_history.cpp
@@ -1,6 +1,7 @@
 #include "policy/request_history.hpp"
 
 #include <chrono>
+#include <utility>
 
 namespace petrelrail::policy {
 namespace {
@@ -16,10 +17,11 @@
   return sizeof(Entry) + entry.id.size() + kEntryOverheadBytes;
 }
 
-void RequestHistory::remember(Time now, std::string_view id, const RequestClass& request_class,
-                              Time first_forwarded) {
-  remember({std::string(id), request_class.idempotency, request_class.deduplication_scope,
-            first_forwarded + request_class.deduplication_window, now + kRetention});
+RequestHistory::Entry RequestHistory::make_entry(Time now, std::string id,
+                                                 const RequestClass& request_class,
+                                                 Time first_forwarded) {
+  return {std::move(id), request_class.idempotency, request_class.deduplication_scope,
+          first_forwarded + request_class.deduplication_window, now + kRetention};
 }
 
 void RequestHistory::remember(Entry entry) {
--- a/src/policy/request_history.hpp
+++ b/src/policy/request_history.hpp
@@ -29,9 +29,13 @@
   }
   void set_max_bytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
 
+  RequestHistory() = default;
+  RequestHistory(const RequestHistory&) = delete;
+  RequestHistory& operator=(const RequestHistory&) = delete;
+
   // `first_forwarded`: when the first attempt that may have run was forwarded.
-  void remember(Time now, std::string_view id, const RequestClass& request_class,
-                Time first_forwarded);
+  static Entry make_entry(Time now, std::string id, const RequestClass& request_class,
+                          Time first_forwarded);
   void remember(Entry entry);
   // Whether a request of this id may be forwarded: it has not run, or may run again.
   bool may_forward(Time now, std::string_view id);
--- a/tests/repeated_request_test.cpp
+++ b/tests/repeated_request_test.cpp
@@ -63,7 +63,7 @@
 
 TEST(RequestHistoryTest, AnEntryIsForgottenAfterATime) {
   RequestHistory history;
-  history.remember(kNow, "a", kUnsafe, kNow);
+  history.remember(RequestHistory::make_entry(kNow, "a", kUnsafe, kNow));
   EXPECT_FALSE(history.may_forward(kNow + 19s, "a"));
   EXPECT_TRUE(history.may_forward(kNow, "b"));
   EXPECT_TRUE(history.may_forward(kNow + 21s, "a"));
@@ -73,8 +73,8 @@
   RequestHistory history;
   auto zonal = kKeyed;
   zonal.deduplication_scope = DeduplicationScope::zone;
-  history.remember(kNow + 1s, "all", kKeyed, kNow);
-  history.remember(kNow + 1s, "zone", zonal, kNow);
+  history.remember(RequestHistory::make_entry(kNow + 1s, "all", kKeyed, kNow));
+  history.remember(RequestHistory::make_entry(kNow + 1s, "zone", zonal, kNow));
   EXPECT_TRUE(history.may_forward(kNow + 2s, "all"));
   EXPECT_FALSE(history.may_forward(kNow + 4s, "all"));
   EXPECT_FALSE(history.may_forward(kNow + 2s, "zone"));
@@ -82,7 +82,8 @@
 TEST(RequestHistoryTest, TheOldestEntriesGoWhereTheBytesAreUsedUp) {
   RequestHistory history;
   history.set_max_bytes(20'000);
-  for (int i = 0; i < 1000; ++i) history.remember(kNow, "id" + std::to_string(i), kUnsafe, kNow);
+  for (int i = 0; i < 1000; ++i)
+    history.remember(RequestHistory::make_entry(kNow, "id" + std::to_string(i), kUnsafe, kNow));
   EXPECT_LE(history.bytes(), 20'000U);
   EXPECT_TRUE(history.may_forward(kNow, "id0"));
   EXPECT_FALSE(history.may_forward(kNow, "id999"));
