Tests for each rule by which a customer's lease is kept

UnderACeiling... now spends all that was leased, so that its customer would be the first to go; new are AnEvictedCustomerIsNotAdmittedBeforeItsLease and NoMoreAreAdmittedBeforeTheirLeasesThanWithoutABound.

--- a/tests/customer_limit_test.cpp
+++ b/tests/customer_limit_test.cpp
@@ -10,7 +10,7 @@
 namespace petrelrail::test {
 namespace {
 
-constexpr std::uint64_t kFirstName = 1000;
+constexpr std::uint64_t kFirstName = 1000, kWaitingName = 1'000'000;
 
 struct LimitedHost : Host {
   LimitedHost(std::size_t max_customers, const Settings& s = settings()) : Host(s) {
@@ -25,7 +25,8 @@
     while (counts_calls && !pending.empty()) {
       const auto call = pending.back();
       pending.pop_back();
-      respond_to_call(call, totals[call.key] += call.amount);
+      handle_event(CounterResponse{call.key, CounterOutcome::ok, totals[call.key] += call.amount,
+                                   call_duration});
       sent = has<Send>() || sent;
       end_sends();
     }
@@ -39,6 +40,11 @@
       for (const auto& call : actions_of<AddToCounter>()) pending.push_back(call);
     }
   }
+  // Leaves so many calls waiting that one more would wait for longer than a healthy counter takes.
+  void congest() {
+    counts_calls = false;
+    for (std::uint64_t n = 0; n < 60; ++n) submit(kWaitingName + n);
+  }
   void refuse_calls() {
     while (!pending.empty()) {
       respond_to_call(pending.back(), 0, CounterOutcome::refused);
@@ -52,6 +58,7 @@
   }
 
   bool counts_calls = true;
+  Duration call_duration = 1ms;
   std::map<CounterKey, double> totals;
   std::vector<AddToCounter> pending;
 };
@@ -106,7 +113,7 @@
 // Guards against a lost count under a ceiling that is not noticed, as the lease was evicted.
 TEST(CustomerLimit, UnderACeilingALossOfCountsIsNoticedAmongManyNames) {
   LimitedHost h(16);
-  for (int i = 0; i < 6; ++i) ASSERT_TRUE(h.submit(1, 1));
+  for (int i = 0; i < 8; ++i) ASSERT_TRUE(h.submit(1, 1));  // all that was leased
   for (std::uint64_t n = 0; n < 40; ++n, h.now += 5ms) h.submit(kFirstName + n);
   EXPECT_GT(h.gateway.sizes().evicted_customers, 0U);
   h.totals.clear();  // the counter starts anew
@@ -117,6 +124,46 @@
   }
   EXPECT_TRUE(is_noticed);
 }
+// Guards against a customer over its quota that is admitted before its lease, as nothing is known
+// of it any more.
+TEST(CustomerLimit, AnEvictedCustomerIsNotAdmittedBeforeItsLease) {
+  LimitedHost h(128);
+  for (int i = 0; i < 40; ++i, h.now += 5ms) h.submit(1);
+  ASSERT_FALSE(h.submit(1));  // over its quota
+  for (std::uint64_t n = 0; n < 300; ++n, h.now += 5ms) h.submit(kFirstName + n);
+  ASSERT_GT(h.gateway.sizes().evicted_customers, 0U);
+  h.congest();
+  EXPECT_FALSE(h.submit(1));
+}
+// How many of some customers are admitted before their leases once more, after a time in which a
+// flood of names fills the table once.
+int admitted_again(std::size_t max_customers) {
+  constexpr std::uint64_t kNewNames = 950, kCustomers = 20;
+  auto s = settings();
+  s.plans[0].rate = 1, s.plans[0].burst = 50;  // longer windows than a history is unknown
+  LimitedHost h(max_customers, s);
+  const auto submit_all = [&] {
+    int sent = 0;
+    h.congest();
+    EXPECT_GT(h.gateway.sizes().queued_counter_calls, 0U);
+    for (std::uint64_t customer = 1; customer <= kCustomers; ++customer) sent += h.submit(customer);
+    return sent;
+  };
+  EXPECT_GT(submit_all(), 0);
+  h.refuse_calls();
+  h.counts_calls = true;
+  for (std::uint64_t n = 0; n < kNewNames; ++n, h.now += 5ms) h.submit(kFirstName + n);
+  EXPECT_EQ(h.gateway.sizes().evicted_customers > 0, max_customers <= kNewNames + kCustomers + 60);
+  h.call_duration = 40ms;  // slow answers lower the rate of calls
+  for (std::uint64_t n = 1; n <= 22; ++n, h.now += 1s)
+    for (int i = 0; i < 5; ++i) h.submit(kFirstName + kNewNames - n);
+  return submit_all();
+}
+// Guards against a second request of one window that is admitted before its lease, as the first was
+// forgotten.
+TEST(CustomerLimit, NoMoreAreAdmittedBeforeTheirLeasesThanWithoutABound) {
+  EXPECT_EQ(admitted_again(1024), admitted_again(100'000));
+}
 // Guards against quota that comes back with each eviction.
 TEST(CustomerLimit, NobodyPassesAQuotaUnderAFloodOfNames) {
   LimitedHost h(32);
