--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,16 +1,19 @@
-// A price server's answer comes a second time, some milliseconds late. Each 200 has to hold the
-// body that a price server made for that request.
+// A crowd connects, stops in the middle of requests and stays. Clients beside it send whole
+// requests of usual size. Each of these has to have its final answer.
 #include "../common-2/standins.hpp"
 
 using namespace review2;
 
 namespace {
 
-constexpr double kWorkSeconds = 0.03;           // of a request at a price server
-constexpr double kSecondAnswerSeconds = 0.004;  // after the first
-constexpr int kSpoiltEvery = 10;                // one answer in so many comes twice
-constexpr int kClients = 4, kCustomers = 400;
-constexpr double kRunSeconds = 15;
+constexpr double kRunSeconds = 20, kCalmSeconds = 3;  // the crowd comes after the calm
+constexpr double kCrowdSeconds = 0.02;                // between two peers of the crowd
+constexpr std::size_t kCrowdBody = 60000, kCrowdSends = 50000, kCrowdAtOnce = 300;
+constexpr std::size_t kBody = 40000;  // of a client's request
+constexpr long kTimeoutMs = 1500;
+constexpr double kLateness = 0.5 + 0.05;  // STANDING, and PROTOCOL's 50 ms for sockets
+constexpr double kWorkSeconds = 0.05;
+constexpr int kClients = 6;
 
 }  // namespace
 
@@ -19,25 +22,21 @@
   std::signal(SIGPIPE, SIG_IGN);
   end_after(100);
   Record record(argv[1]);
-  std::atomic<int> answers{0}, spoilt{0};
+  std::atomic<int> ran{0};
   const auto serve = [&](Socket& s, const Head& h) {
     if (!read_body(s, h, false, now() + 10)) return false;
-    const auto id = h.field("x-request-id");
+    ++ran;
     sleep_s(kWorkSeconds);
-    const auto text = answer("200 OK", "price for " + id);
-    if (!s.send(text)) return false;
-    record.line("server   ran and answered " + id);
-    if (!trouble() || ++answers % kSpoiltEvery != 0) return true;
-    sleep_s(kSecondAnswerSeconds);
-    ++spoilt;
-    record.line("server   sends the answer to " + id + " once more");
-    return s.send(text);
+    return s.send(answer("200 OK", "post of " + h.field("x-request-id")));
   };
   PriceServer first(serve), second(serve);
   Counter counter;
   Agent agent({{"s-00000001", first.port()}, {"s-00000002", second.port()}});
   NodeOptions options;
-  options.grades = grade("price-lookup", "safe", 2.5, 8);
+  options.grades = grade("rate-read", "safe", 0.6, 1.5) + "," +
+                   grade("rate-post", "unsafe", 0.8, 2.5);
+  options.fleet_size = 1;
+  options.memory_mb = 32;
   options.known = agent.list();
   options.counter = counter.port();
   options.discovery = agent.port();
@@ -45,42 +44,69 @@
   const auto process = node.start();
   if (!node.ready()) return kCouldNotRun;
 
-  std::atomic<int> sent{0}, served{0}, foreign{0};
+  std::atomic<bool> stop{false};
+  std::atomic<int> sent{0}, answered{0}, served{0}, unanswered{0}, ended{0}, peers{0};
   std::vector<std::thread> clients;
-  const double end = now() + kRunSeconds;
   for (int c = 0; c < kClients; ++c) {
     clients.emplace_back([&] {
       Socket s;
-      while (now() < end) {
-        const int n = ++sent;
-        const auto id = hex16(0x9b1f03aa00000000ULL + static_cast<unsigned>(n));
+      while (!stop) {
+        const auto n = static_cast<unsigned>(++sent);
+        const auto id = hex16(0x9b1f03aa00000000ULL + n);
         if (!s.open()) s = connect_to(node.port());
-        s.send(request_head("GET", "price-lookup", id, hex16(0x1000 + n % kCustomers), 6000) +
-               "\r\n");
-        const auto h = read_head(s, now() + 8);
-        const auto body = h ? read_body(s, *h, true, now() + 2) : std::nullopt;
-        if (!body || h->field("connection") == "close") s.close();
-        if (!body || h->status() != 200) {
-          record.line("client   " + id + " gets " + (h ? h->first : "no answer"));
-          continue;
+        s.send(request_head("POST", "rate-post", id, hex16(0x1000 + n % 500), kTimeoutMs) +
+               "Content-Length: " + std::to_string(kBody) + "\r\n\r\n" + std::string(kBody, 'x'));
+        const double written = now();
+        const double until = written + kTimeoutMs / 1000.0 + kLateness;
+        while (now() < until && s.in().find("\r\n\r\n") == std::string::npos)
+          if (s.read(until) != Socket::Got::bytes) break;
+        const bool late = now() >= until;
+        const auto h = read_head(s, until);
+        const auto body = h ? read_body(s, *h, true, until) : std::nullopt;
+        if (body) ++answered;
+        if (body && h->status() == 200) ++served;
+        if (!body && late) {
+          ++unanswered;
+          record.line("client   " + id +
+                      text_of(": no final answer %.2f s after its last byte", now() - written));
+          const auto after = read_head(s, written + 10);
+          record.line("client   " + id + " in the end: " + (after ? after->first : "none") +
+                      text_of(", %.2f s after its last byte", now() - written));
+        } else if (!body) {
+          ++ended;
         }
-        ++served;
-        const bool own = *body == "price for " + id;
-        if (!own) ++foreign;
-        record.line("client   " + id + " gets 200 with \"" + *body + "\"" +
-                    (own ? "" : "  <- another client's answer"));
+        if (!body || h->status() != 200 || h->field("connection") == "close") s.close();
+        sleep_s(0.1);
       }
     });
   }
+  std::thread crowd([&] {
+    std::vector<Socket> all;
+    const auto text = request_head("POST", "rate-post", "0badc0de00000000", hex16(1), 1500) +
+                      "Content-Length: " + std::to_string(kCrowdBody) + "\r\n\r\n" +
+                      std::string(kCrowdSends, 'y');
+    sleep_s(kCalmSeconds);
+    while (!stop && trouble()) {
+      all.push_back(connect_to(node.port()));
+      if (all.back().open()) all.back().send(text), ++peers;
+      if (all.size() > kCrowdAtOnce) all.erase(all.begin());
+      sleep_s(kCrowdSeconds);
+    }
+  });
+  sleep_s(kRunSeconds);
+  stop = true;
   for (auto& c : clients) c.join();
-  const bool alive = node.runs(process);
+  crowd.join();
+  if (!node.runs(process)) {
+    record.line("the edge node's process has ended");
+    return kBroken;
+  }
   const auto summary = text_of(
-      "sent %d, served %d, of these with another request's answer %d, "
-      "answers that came twice %d",
-      sent.load(), served.load(), foreign.load(), spoilt.load());
+      "requests %d, answered %d (served %d), connection ended %d, without a "
+      "final answer in time %d; peers of the crowd %d",
+      sent.load(), answered.load(), served.load(), ended.load(), unanswered.load(), peers.load());
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (!alive || served < 100 || (trouble() && spoilt == 0))
-    return foreign > 0 ? kBroken : kCouldNotRun;
-  return foreign > 0 ? kBroken : kHeld;
+  if (served == 0) return kCouldNotRun;
+  return unanswered > 0 ? kBroken : kHeld;
 }
--- a/review/common-2/standins.hpp
+++ b/review/common-2/standins.hpp
@@ -392,13 +392,11 @@
 // ---- The edge node ------------------------------------------------------------------------------
 
 struct NodeOptions {
-  std::string grades;     // of the settings
-  double deadline_s = 8;  // of the class, where `grades` is empty
+  std::string grades;  // of the settings
   int fleet_size = 3;
-  int control = 0;  // port for operators; 0: none
+  int memory_mb = 192, descriptors = 1024;
   std::string known;
   int counter = 0, discovery = 0;
-  std::string effect = "safe";
   std::string folder_name;  // appended to the temporary folder
 };
 
@@ -472,7 +470,8 @@
                           << R"(","discovery":")" << address(options_.discovery)
                           << R"(","counter":")" << address(options_.counter)
                           << R"(","seed":"8c1f30d27a5be964",)"
-                          << R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},)"
+                          << R"("limits":{"cores":1.0,"memory_mb":)" << options_.memory_mb
+                          << R"(,"sockets":)" << options_.descriptors << "},"
                           << (control > 0 ? R"("control":")" + address(control) + R"(",)" : "")
                           << R"("known":)" << options_.known << R"(,"settings":)"
                           << settings(options_) << "}";
