--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,15 +1,23 @@
-// A peer sends what is no proper request: GET with a long body, its head first. It is owed an error
-// or a close, and must not be served.
+// A price server's answer never ends: in chunks, a few bytes at a time, for as long as anyone
+// reads. Each request has to have its final answer, or a visible end, half a second after its time.
 #include "../common-2/standins.hpp"
 
 using namespace review2;
 
 namespace {
 
-constexpr double kWorkSeconds = 0.02;
-constexpr double kPauseSeconds = 0.05;  // between a head and its body
-constexpr std::size_t kBody = 100000;
-constexpr int kPeers = 10;
+constexpr double kPartSeconds = 0.4;  // between two parts of an answer
+constexpr int kPartsOfSound = 3;      // of an answer that ends
+constexpr long kTimeoutMs = 2000;
+constexpr double kLateness = 0.5 + 0.05;  // STANDING, and PROTOCOL's 50 ms for sockets
+constexpr double kWatchSeconds = 15;      // after a request's time
+constexpr int kRequests = 12, kSpoiltEvery = 3;
+
+struct Outcome {
+  double sent = 0, ended = 0;  // ended 0: no end was seen
+  std::size_t bytes = 0;
+  std::string text;
+};
 
 }  // namespace
 
@@ -18,19 +26,26 @@
   std::signal(SIGPIPE, SIG_IGN);
   end_after(100);
   Record record(argv[1]);
-  std::atomic<int> ran_with_body{0};
   PriceServer server([&](Socket& s, const Head& h) {
-    const auto body = read_body(s, h, false, now() + 10);
-    if (!body) return false;
-    if (!body->empty()) ++ran_with_body;
-    record.line("server   runs " + h.first + text_of(", with a body of %zu bytes", body->size()));
-    sleep_s(kWorkSeconds);
-    return s.send(answer("200 OK", "price for " + h.field("x-request-id")));
+    if (!read_body(s, h, false, now() + 10)) return false;
+    const auto id = h.field("x-request-id");
+    const bool spoilt = trouble() && std::stoull(id, nullptr, 16) % kSpoiltEvery == 0;
+    record.line("server   runs " + id + (spoilt ? ", its answer will never end" : ""));
+    if (!s.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) return false;
+    for (int part = 0; spoilt || part < kPartsOfSound; ++part) {
+      if (!s.send("10\r\n0123456789abcdef\r\n")) {
+        record.line("server   the connection of " + id + " has ended");
+        return false;
+      }
+      sleep_s(kPartSeconds);
+    }
+    return s.send("0\r\n\r\n");
   });
   Counter counter;
   Agent agent({{"s-00000001", server.port()}});
   NodeOptions options;
   options.grades = grade("price-lookup", "safe", 2.5, 8);
+  options.fleet_size = 1;
   options.known = agent.list();
   options.counter = counter.port();
   options.discovery = agent.port();
@@ -38,31 +53,46 @@
   const auto process = node.start();
   if (!node.ready()) return kCouldNotRun;
 
-  int served = 0, bad_served = 0;
-  for (int i = 0; i < 2 * kPeers; ++i) {
-    const bool is_bad = trouble() && i % 2 == 1;
-    const auto id = hex16(0x9b1f03aa00000000ULL + static_cast<unsigned>(i));
-    auto s = connect_to(node.port());
-    const auto head = request_head("GET", "price-lookup", id, hex16(0x1000 + i), 2500);
-    if (is_bad) {
-      s.send(head + "Content-Length: " + std::to_string(kBody) + "\r\n\r\n");
-      sleep_s(kPauseSeconds);
-      s.send(std::string(kBody, 'x'));
-    } else {
-      s.send(head + "\r\n");
-    }
-    const auto h = read_head(s, now() + 4);
-    record.line("client   " + id + (is_bad ? ", GET with a body, gets " : " gets ") +
-                (h ? h->first : "no answer"));
-    if (h && h->status() == 200) ++(is_bad ? bad_served : served);
+  std::vector<Outcome> outcomes(kRequests);
+  std::vector<std::thread> clients;
+  for (int c = 0; c < kRequests; ++c) {
+    sleep_s(0.1);
+    clients.emplace_back([&, c] {
+      auto& o = outcomes[static_cast<std::size_t>(c)];
+      const auto id = hex16(0x9b1f03aa00000000ULL + static_cast<unsigned>(c));
+      auto s = connect_to(node.port());
+      o.sent = now();
+      s.send(request_head("GET", "price-lookup", id, hex16(0x1000 + c), kTimeoutMs) + "\r\n");
+      record.line("client   sends " + id);
+      const double until = o.sent + kTimeoutMs / 1000.0 + kWatchSeconds;
+      const auto h = read_head(s, until);
+      Socket::Got got = Socket::Got::end;
+      const auto body = h ? read_body(s, *h, true, until, &got) : std::nullopt;
+      o.bytes = body ? body->size() : s.in().size();
+      if (body || got != Socket::Got::time) o.ended = now();
+      o.text = (h ? h->first : "no answer") + (body                       ? ", whole"
+                                               : got == Socket::Got::time ? ", no end"
+                                                                          : ", cut off");
+      record.line("client   " + id + ": " + o.text +
+                  text_of(", %.3f s after it was sent", now() - o.sent));
+    });
   }
+  for (auto& c : clients) c.join();
   if (!node.runs(process)) return kCouldNotRun;
+  int answered = 0, unanswered = 0;
+  for (const auto& o : outcomes) {
+    const double limit = o.sent + kTimeoutMs / 1000.0 + kLateness;
+    if (o.ended > 0 && o.ended <= limit)
+      ++answered;
+    else
+      ++unanswered;
+  }
   const auto summary = text_of(
-      "proper requests served %d, improper ones served %d, run with a body "
-      "at the price server %d",
-      served, bad_served, ran_with_body.load());
+      "requests %d, ended in time %d, with no final answer %.2f s after "
+      "their time %d (watched for %.0f s)",
+      kRequests, answered, kLateness, unanswered, kWatchSeconds);
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (served == 0) return kCouldNotRun;
-  return bad_served > 0 ? kBroken : kHeld;
+  if (answered == 0) return kCouldNotRun;
+  return unanswered > 0 ? kBroken : kHeld;
 }
