Review: the cases end at once when they are done, beside threads of stand-ins

A case returned from main while threads of its stand-ins could still use what main had. It now ends the node's processes, removes its folder and ends.

--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -51,7 +51,7 @@
   options.discovery = agent.port();
   Node node(options);
   const auto process = node.start();
-  if (!node.ready()) return kCouldNotRun;
+  if (!node.ready()) finish(node, kCouldNotRun);
 
   std::vector<Outcome> outcomes(kRequests);
   std::vector<std::thread> clients;
@@ -78,7 +78,7 @@
     });
   }
   for (auto& c : clients) c.join();
-  if (!node.runs(process)) return kCouldNotRun;
+  if (!node.runs(process)) finish(node, kCouldNotRun);
   int answered = 0, unanswered = 0;
   for (const auto& o : outcomes) {
     const double limit = o.sent + kTimeoutMs / 1000.0 + kLateness;
@@ -93,6 +93,6 @@
       kRequests, answered, kLateness, unanswered, kWatchSeconds);
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (answered == 0) return kCouldNotRun;
-  return unanswered > 0 ? kBroken : kHeld;
+  if (answered == 0) finish(node, kCouldNotRun);
+  finish(node, unanswered > 0 ? kBroken : kHeld);
 }
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -42,7 +42,7 @@
   options.discovery = agent.port();
   Node node(options);
   const auto process = node.start();
-  if (!node.ready()) return kCouldNotRun;
+  if (!node.ready()) finish(node, kCouldNotRun);
 
   std::atomic<bool> stop{false};
   std::atomic<int> sent{0}, answered{0}, served{0}, unanswered{0}, ended{0}, peers{0};
@@ -99,7 +99,7 @@
   crowd.join();
   if (!node.runs(process)) {
     record.line("the edge node's process has ended");
-    return kBroken;
+    finish(node, kBroken);
   }
   const auto summary = text_of(
       "requests %d, answered %d (served %d), connection ended %d, without a "
@@ -107,6 +107,6 @@
       sent.load(), answered.load(), served.load(), ended.load(), unanswered.load(), peers.load());
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (served == 0) return kCouldNotRun;
-  return unanswered > 0 ? kBroken : kHeld;
+  if (served == 0) finish(node, kCouldNotRun);
+  finish(node, unanswered > 0 ? kBroken : kHeld);
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -54,7 +54,7 @@
   options.discovery = agent.port();
   Node node(options);
   const auto process = node.start();
-  if (!node.ready()) return kCouldNotRun;
+  if (!node.ready()) finish(node, kCouldNotRun);
 
   std::vector<Outcome> outcomes(std::size(kBodies));
   std::vector<std::thread> clients;
@@ -89,7 +89,7 @@
     });
   }
   for (auto& c : clients) c.join();
-  if (!node.runs(process)) return kCouldNotRun;
+  if (!node.runs(process)) finish(node, kCouldNotRun);
   int counted = 0, late = 0;
   for (const auto& o : outcomes) {
     if (o.written == 0) continue;  // ended before its last byte was written
@@ -105,6 +105,6 @@
       counted, kLateness, late);
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (counted == 0) return kCouldNotRun;
-  return late > 0 ? kBroken : kHeld;
+  if (counted == 0) finish(node, kCouldNotRun);
+  finish(node, late > 0 ? kBroken : kHeld);
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -49,7 +49,7 @@
   options.discovery = agent.port();
   Node node(options);
   const auto process = node.start();
-  if (!node.ready()) return kCouldNotRun;
+  if (!node.ready()) finish(node, kCouldNotRun);
 
   for (int round = 0; round < kRounds; ++round) {
     // Ordinary load, so that the entry waits for a while.
@@ -84,7 +84,7 @@
     for (auto& l : lookups) l.join();
   }
   sleep_s(1);
-  if (!node.runs(process)) return kCouldNotRun;
+  if (!node.runs(process)) finish(node, kCouldNotRun);
   int late = 0;
   for (const auto& [id, e] : entries) {
     if (e.closed == 0 || e.begun == 0 || e.begun - e.closed <= kAllowed) continue;
@@ -98,6 +98,6 @@
       kRounds, kAllowed, late, arrived.load(), answered.load());
   record.line("summary  " + summary);
   std::puts(summary.c_str());
-  if (!trouble() && answered == 0) return kCouldNotRun;
-  return late > 0 ? kBroken : kHeld;
+  if (!trouble() && answered == 0) finish(node, kCouldNotRun);
+  finish(node, late > 0 ? kBroken : kHeld);
 }
--- a/review/common-2/standins.hpp
+++ b/review/common-2/standins.hpp
@@ -454,8 +454,10 @@
     folder_ = base_ + options_.folder_name;
     std::filesystem::create_directories(folder_);
   }
-  ~Node() {
+  ~Node() { end(); }
+  void end() {
     for (const auto pid : children_) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+    children_.clear();
     std::filesystem::remove_all(base_);
   }
   Node(const Node&) = delete;
@@ -465,7 +467,7 @@
 
   // Starts a process by the deploy file's command.
   pid_t start(int control = 0) {
-    const auto config = base_ + "/config-" + std::to_string(children_.size()) + ".json";
+    const auto config = base_ + "/config-" + std::to_string(started_) + ".json";
     std::ofstream(config) << R"({"name":"n0","listen":")" << address(listen_)
                           << R"(","discovery":")" << address(options_.discovery)
                           << R"(","counter":")" << address(options_.counter)
@@ -476,7 +478,7 @@
                           << R"("known":)" << options_.known << R"(,"settings":)"
                           << settings(options_) << "}";
     const auto command = run_command();
-    const auto log = base_ + "/log-" + std::to_string(children_.size());
+    const auto log = base_ + "/log-" + std::to_string(started_++);
     const auto parent = ::getpid();
     const auto pid = ::fork();
     if (pid == 0) {
@@ -525,8 +527,16 @@
   int listen_;
   std::string base_, folder_;
   std::vector<pid_t> children_;
+  int started_ = 0;
 };
 
+// Ends the node and the test, while threads of stand-ins may still run.
+[[noreturn]] inline void finish(Node& node, int status) {
+  node.end();
+  std::fflush(nullptr);
+  ::_exit(status);
+}
+
 // A request's head as PROTOCOL shows it, without its end.
 inline std::string request_head(const std::string& method, const std::string& cls,
                                 const std::string& id, const std::string& customer,
