Review: records of cases 6 and 9 hold all that was sent, answered and run

Shown: record.txt of case 6 named lost requests alone, that of case 9 left out the lookups beside its entries. Checks and bounds are as they were.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -26,6 +26,7 @@
   const auto serve = [&](Socket& s, const Head& h) {
     if (!read_body(s, h, false, now() + 10)) return false;
     ++ran;
+    record.line("server   runs " + h.field("x-request-id"));
     sleep_s(kWorkSeconds);
     return s.send(answer("200 OK", "post of " + h.field("x-request-id")));
   };
@@ -57,13 +58,14 @@
         s.send(request_head("POST", "rate-post", id, hex16(0x1000 + n % 500), kTimeoutMs) +
                "Content-Length: " + std::to_string(kBody) + "\r\n\r\n" + std::string(kBody, 'x'));
         const double written = now();
+        record.line("client   " + id + " is sent");
         const double until = written + kTimeoutMs / 1000.0 + kLateness;
         while (now() < until && s.in().find("\r\n\r\n") == std::string::npos)
           if (s.read(until) != Socket::Got::bytes) break;
         const bool late = now() >= until;
         const auto h = read_head(s, until);
         const auto body = h ? read_body(s, *h, true, until) : std::nullopt;
-        if (body) ++answered;
+        if (body) ++answered, record.line("client   " + id + " gets " + h->first);
         if (body && h->status() == 200) ++served;
         if (!body && late) {
           ++unanswered;
@@ -74,6 +76,7 @@
                       text_of(", %.2f s after its last byte", now() - written));
         } else if (!body) {
           ++ended;
+          record.line("client   " + id + ": its connection has ended");
         }
         if (!body || h->status() != 200 || h->field("connection") == "close") s.close();
         sleep_s(0.1);
@@ -88,7 +91,10 @@
     sleep_s(kCalmSeconds);
     while (!stop && trouble()) {
       all.push_back(connect_to(node.port()));
-      if (all.back().open()) all.back().send(text), ++peers;
+      if (all.back().open()) {
+        all.back().send(text);
+        record.line(text_of("crowd    peer %d has sent a part of a request and stops", ++peers));
+      }
       if (all.size() > kCrowdAtOnce) all.erase(all.begin());
       sleep_s(kCrowdSeconds);
     }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -35,7 +35,8 @@
       record.line("server   " + id + " begins");
     }
     if (!read_body(s, h, false, now() + 10)) return false;
-    if (is_entry) ++arrived, record.line("server   " + id + " has arrived whole and runs");
+    if (is_entry) ++arrived;
+    record.line("server   " + id + " has arrived whole and runs");
     sleep_s(kWorkSeconds);
     return s.send(answer("200 OK", "done " + id));
   });
@@ -61,7 +62,11 @@
         s.send(request_head("GET", "ledger-scan", hex16(0x1b1f03aa00000000ULL + n),
                             hex16(0x1000 + n), 6000) +
                "\r\n");
-        if (const auto h = read_head(s, now() + 7)) read_body(s, *h, true, now() + 1);
+        const auto id = hex16(0x1b1f03aa00000000ULL + n);
+        record.line("client   " + id + ", a lookup, is sent");
+        const auto h = read_head(s, now() + 7);
+        if (h) read_body(s, *h, true, now() + 1);
+        record.line("client   " + id + " gets " + (h ? h->first : "no answer"));
       });
     }
     sleep_s(0.1);
