Stopped clients give way under memory pressure, and whole requests are read and served

Cause: OverloadManager::may_read left every session over a size unread from 60 in a hundred of the budget on, whoever sent, and nobody was given up in that stage, so it was stable. Pieces under that size were spared in the next stage, and whole requests were refused there. Change: reading is never paused for memory. policy::ReceiveProgress tells how far a client lags behind the lowest rate; incomplete requests go in the order of bytes times lag, until the stage is left, and before a complete request is refused. Under pressure a session reads all that has arrived in one turn, so that a whole request is never among the incomplete ones. Works because what frees memory is now the memory that nobody uses, and a whole request needs one turn.

--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -131,6 +131,8 @@
 void HttpServer::charge_request(ClientRequest& request) {
   const auto body_bytes = request.body.capacity();
   const auto bytes = request.bytes() + body_bytes;
+  // Room is made first: a complete request goes before those whose clients have stopped.
+  if (!overload_->may_accept(bytes)) shed_incomplete_requests();
   if (!overload_->may_accept(bytes)) {
     on_shed(policy::SheddingReason::complete_request, request.request_id, bytes);
     throw RequestError(http::status::service_unavailable, "the node is short of memory");
@@ -141,20 +143,24 @@
 }
 
 void HttpServer::shed_incomplete_requests() {
-  if (overload_->stage() < policy::OverloadStage::shed) return;
+  while (overload_->stage() >= policy::OverloadStage::shed && shed_victims()) {}
+}
+
+bool HttpServer::shed_victims() {
   log_stage();
   std::vector<std::shared_ptr<HttpSession>> sessions;
   std::vector<policy::IncompleteRequest> requests;
   for (const auto& session : sessions_) {
     if (!session->has_incomplete_request()) continue;
-    requests.push_back({sessions.size(), session->held_bytes(), session->last_received_time()});
+    requests.push_back(session->incomplete_request(sessions.size()));
     sessions.push_back(session);
   }
   const auto reason = overload_->stage() == policy::OverloadStage::close
                           ? policy::SheddingReason::never_complete
                           : policy::SheddingReason::incomplete_request;
-  for (const auto victim : overload_->choose_victims(std::move(requests)))
-    sessions[victim]->shed(reason);
+  const auto victims = overload_->choose_victims(std::move(requests));
+  for (const auto victim : victims) sessions[victim]->shed(reason);
+  return !victims.empty();
 }
 
 void HttpServer::on_shed(policy::SheddingReason reason, const std::string& request_id,
--- a/src/node/http_server.hpp
+++ b/src/node/http_server.hpp
@@ -84,6 +84,9 @@
   void charge_request(ClientRequest& request);
   // Gives up incomplete requests while the node is short of memory.
   void shed_incomplete_requests();
+  // Returns false if there is nothing to give up. What a session holds is not freed completely, so
+  // that one call may not be enough.
+  bool shed_victims();
   void on_shed(policy::SheddingReason reason, const std::string& request_id, std::size_t bytes);
   void log_stage();
   void remove_session(const std::shared_ptr<HttpSession>& session);
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -61,12 +61,7 @@
 }
 
 bool HttpSession::may_read() {
-  if (state_ == State::lingering || body_stream_) return true;
-  if (state_ == State::reading) {
-    if (!server_.overload_->is_under_pressure()) return true;
-    update_memory();
-    return server_.overload_->may_read(memory_.total());
-  }
+  if (state_ == State::reading || state_ == State::lingering || body_stream_) return true;
   return buffer_.size() < limits::kMaxReadAheadBytes || !keep_alive_;
 }
 
@@ -76,10 +71,15 @@
   client_is_connected();
 }
 
-bool HttpSession::is_far_ahead() const {
+std::size_t HttpSession::unread_bytes() const {
   error_code failed;
+  const auto bytes = socket_.available(failed);
+  return failed ? 0 : bytes;
+}
+
+bool HttpSession::is_far_ahead() const {
   return state_ != State::reading && state_ != State::lingering && !body_stream_ &&
-         socket_.available(failed) >= limits::kMaxUnreadInputBytes && !failed;
+         unread_bytes() >= limits::kMaxUnreadInputBytes;
 }
 
 bool HttpSession::discard_input() {
@@ -116,9 +116,7 @@
   if (failed)
     return close(failed == asio::error::eof ? SessionEndReason::client_closed
                                             : SessionEndReason::read_failed);
-  buffer_.commit(bytes);
-  last_received_time_ = server_.timers_.now();
-  request_bytes_ += bytes;
+  on_received(bytes);
   // Input behind a request that ends the session is discarded.
   if (state_ == State::lingering || (state_ != State::reading && !body_stream_ && !keep_alive_)) {
     buffer_.clear();
@@ -127,6 +125,7 @@
   }
   if (state_ == State::reading) {
     parse();
+    if (server_.overload_->is_under_pressure()) read_arrived_input();
   } else if (body_stream_) {
     on_body_data();
   }
@@ -134,11 +133,37 @@
   server_.shed_incomplete_requests();
 }
 
+void HttpSession::on_received(std::size_t bytes) {
+  buffer_.commit(bytes);
+  last_received_time_ = server_.timers_.now();
+  request_bytes_ += bytes;
+  progress_.on_received(last_received_time_, bytes);
+}
+
+void HttpSession::read_arrived_input() {
+  for (std::size_t total = 0; has_incomplete_request() && total < limits::kMaxInputBytesPerTurn;) {
+    const auto space = buffer_.prepare(limits::kReadBufferBytes);
+    const auto receive = [&] {
+      return ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    };
+    const auto bytes = retry_on_interrupt(receive);
+    if (bytes <= 0) return;  // nothing more has arrived; an end or an error shows at the next read
+    total += static_cast<std::size_t>(bytes);
+    on_received(static_cast<std::size_t>(bytes));
+    parse();
+  }
+}
+
+policy::IncompleteRequest HttpSession::incomplete_request(std::size_t session_number) const {
+  return {session_number, memory_.total(), progress_.lag(server_.timers_.now())};
+}
+
 void HttpSession::parse() {
   if (buffer_.size() == 0) return;
   if (!std::exchange(request_started_, true)) {
     request_started_time_ = last_progress_time_ = server_.timers_.now();
     request_bytes_ = buffer_.size();
+    progress_.start(request_started_time_);
     parser_.emplace();
     parser_->header_limit(limits::kMaxHeaderBytes);
     parser_->body_limit(limits::kMaxStreamedBodyBytes);
@@ -201,8 +226,7 @@
 bool HttpSession::body_has_arrived() const {
   if (parser_->is_done()) return true;
   const auto missing = parser_->content_length_remaining();
-  error_code failed;
-  return missing && socket_.available(failed) >= *missing && !failed;
+  return missing && unread_bytes() >= *missing;
 }
 
 void HttpSession::check_last_byte() {
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -10,8 +10,10 @@
 #include "end_reason.hpp"
 #include "field_limited_parser.hpp"
 #include "input_buffer.hpp"
+#include "limits.hpp"
 #include "net.hpp"
 #include "policy/overload_manager.hpp"
+#include "policy/receive_progress.hpp"
 #include "request_body_stream.hpp"
 #include "response_sink.hpp"
 
@@ -46,10 +48,7 @@
   // No part of a request was read and none is in flight.
   bool is_idle() const { return state_ == State::reading && !request_started_; }
   // Idle, and the socket's receive buffer is empty too: it can be closed without loss.
-  bool has_no_unread_input() const {
-    error_code failed;
-    return is_idle() && (socket_.available(failed) == 0 || failed);
-  }
+  bool has_no_unread_input() const { return is_idle() && unread_bytes() == 0; }
   // No request was read completely yet; a client that connects has one to send.
   bool awaits_first_request() const { return awaits_first_request_; }
   // Holds no accepted request: none at all, a part of one, or a response that was written.
@@ -64,7 +63,8 @@
   bool has_incomplete_request() const {
     return state_ == State::reading && (request_started_ || buffer_.size() > 0);
   }
-  std::size_t held_bytes() const { return memory_.total(); }
+  // What its incomplete request holds, and how far its client lags.
+  policy::IncompleteRequest incomplete_request(std::size_t session_number) const;
   // Gives up the incomplete request to free its memory: answers 503, or closes at once.
   void shed(policy::SheddingReason reason);
 
@@ -77,6 +77,8 @@
   bool may_read();
   // Reads on if reading was stopped, or notices that the client has closed meanwhile.
   void check_paused_reading();
+  // In the socket's receive buffer.
+  std::size_t unread_bytes() const;
   // More input lies unread behind the request in flight than the system is sure to hold with the
   // close behind it.
   bool is_far_ahead() const;
@@ -89,6 +91,10 @@
   // Charges what this session holds.
   void update_memory();
   void on_read(const error_code& failed, std::size_t bytes);
+  void on_received(std::size_t bytes);
+  // Reads an incomplete request to the end of what has arrived of it, so that one that has arrived
+  // whole is not among those that are given up.
+  void read_arrived_input();
   void parse();
   bool feed_parser();
   void on_request_parsed();
@@ -121,6 +127,7 @@
   Time request_started_time_{};
   std::shared_ptr<RequestBodyStream> body_stream_;  // of a forwarded request that is still read
   std::size_t request_bytes_ = 0;                   // received since the request began
+  policy::ReceiveProgress progress_{limits::kMinBodyBytesPerSecond};  // of the request being read
   // When the state was entered, a request's first byte was read, or bytes were last written.
   Time last_progress_time_{};
   bool awaits_first_request_ = true;
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -80,6 +80,8 @@
 inline constexpr std::size_t kTypicalHeaderBytes = 192;
 // Read from a socket in one call.
 inline constexpr std::size_t kReadBufferBytes = 4 * 1024;
+// Read of one client's request in one turn while memory is short.
+inline constexpr std::size_t kMaxInputBytesPerTurn = 2 * kMaxBodyBytes;
 // Of X-Request-ID and Idempotency-Key.
 inline constexpr std::size_t kMaxIdBytes = 256;
 inline constexpr std::uint64_t kMaxTimeoutMs = 1000ULL * 60 * 60;
--- a/src/policy/overload_manager.cpp
+++ b/src/policy/overload_manager.cpp
@@ -1,6 +1,7 @@
 #include "policy/overload_manager.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace petrelrail::policy {
@@ -12,13 +13,20 @@
 // From this share of the budget a stage is entered, and below this one it is left; by stage.
 constexpr std::array kEnterShares{0.0, 0.6, 0.75, 0.9};
 constexpr std::array kLeaveShares{0.0, 0.5, 0.65, 0.8};
-// A request up to this size, in bytes, is read and accepted until the last stage.
+// A request up to this size, in bytes, is accepted until the last stage.
 constexpr std::size_t kSmallRequestBytes = 24 * 1024;
+// A client that lags by no more than this keeps sending.
+constexpr Duration kMaxLagOfSender = std::chrono::milliseconds(100);
 constexpr double kCustomersShare = 0.25;
 constexpr double kHistoryShare = 0.05;
 // A parsed list takes several times its text.
 constexpr double kListShare = 0.15;
 
+// What the memory of a request costs others while its client does not send: bytes times seconds.
+double waste(const IncompleteRequest& request) {
+  return static_cast<double>(request.bytes) * std::chrono::duration<double>(request.lag).count();
+}
+
 }  // namespace
 
 void OverloadManager::set_memory_limit(std::size_t memory_limit) {
@@ -44,10 +52,6 @@
   stage_end_ = stage > 0 ? share_of_budget(kLeaveShares[stage]) : 0;
 }
 
-bool OverloadManager::may_read(std::size_t held) const {
-  return stage_ == OverloadStage::normal || held <= kSmallRequestBytes;
-}
-
 bool OverloadManager::may_accept(std::size_t bytes) const {
   if (stage_ == OverloadStage::close) return false;
   return stage_ != OverloadStage::shed || bytes <= kSmallRequestBytes;
@@ -57,14 +61,17 @@
     std::vector<IncompleteRequest> requests) const {
   std::vector<std::size_t> victims;
   if (stage_ < OverloadStage::shed) return victims;
-  std::ranges::sort(requests, [](const auto& a, const auto& b) {
-    return std::tuple(b.bytes, a.last_received_time, a.session) <
-           std::tuple(a.bytes, b.last_received_time, b.session);
+  if (stage_ == OverloadStage::shed) {
+    std::erase_if(requests, [](const auto& request) {
+      return request.bytes <= kSmallRequestBytes && request.lag <= kMaxLagOfSender;
+    });
+  }
+  std::ranges::sort(requests, std::greater(), [](const auto& request) {
+    return std::tuple(waste(request), request.bytes, request.session);
   });
   auto remaining = total_;
   for (const auto& request : requests) {
     if (remaining < stage_end_) break;
-    if (stage_ == OverloadStage::shed && request.bytes <= kSmallRequestBytes) break;
     victims.push_back(request.session);
     remaining -= std::min(remaining, request.bytes);
   }
--- a/src/policy/overload_manager.hpp
+++ b/src/policy/overload_manager.hpp
@@ -5,12 +5,15 @@
 //   stage          from a share of the budget, the node also
 //   -------------  --------------------------------------------------------------------------------
 //   normal         -
-//   stop_reading   reads no more of large requests that are not complete, streams in small pieces,
-//                  and releases spare capacity of buffers
-//   shed           answers the largest incomplete requests, and large complete ones, with 503
-//   close          closes the largest incomplete requests, and answers every new one with 503
+//   conserve       reads a request to the end of what has arrived of it in one turn, streams in
+//                  small pieces, and releases spare capacity of buffers
+//   shed           answers incomplete requests, and large complete ones, with 503
+//   close          closes incomplete requests, and answers every new one with 503
 //
-// An accepted request is never dropped: what it holds ends with its answer.
+// The incomplete requests that are given up first are those that occupy most memory for longest
+// while their clients lag behind the lowest rate at which they may send. Incomplete ones go before
+// a complete one is refused. An accepted request is never dropped: what it holds ends with its
+// answer.
 #pragma once
 
 #include <array>
@@ -38,14 +41,15 @@
     "input", "fields", "bodies", "requests", "answers", "customers", "lists"};
 static_assert(kMemoryKindNames.size() == static_cast<std::size_t>(MemoryKind::lists) + 1);
 
-enum class OverloadStage { normal, stop_reading, shed, close };
+enum class OverloadStage { normal, conserve, shed, close };
+// As in metrics and logs.
 inline constexpr std::array<std::string_view, 4> kOverloadStageNames{"normal", "stop_reading",
                                                                      "shed", "close"};
 
 // Why a request was not accepted, or input was not read, for the sake of a bound.
 enum class SheddingReason {
   too_many_fields,     // 431: more header fields than the limit
-  incomplete_request,  // 503: a large request that is still being read, in stage shed
+  incomplete_request,  // 503: a request that is still being read, in stage shed
   complete_request,    // 503: a request that was read, in stage shed or close
   never_complete,      // closed: a request that is still being read, in stage close
   input_paused,        // reading was stopped
@@ -59,7 +63,7 @@
 struct IncompleteRequest {
   std::size_t session = 0;  // the caller's number of the session
   std::size_t bytes = 0;
-  Time last_received_time{};
+  Duration lag{};  // of its client, see ReceiveProgress
 };
 
 class OverloadManager {
@@ -87,12 +91,11 @@
   const auto& held() const { return held_; }            // by MemoryKind
   const auto& sheddings() const { return sheddings_; }  // by SheddingReason
 
-  // Whether a session whose incomplete request holds that many bytes may read on.
-  bool may_read(std::size_t held) const;
   // Whether a complete request of that size may be accepted.
   bool may_accept(std::size_t bytes) const;
-  // The sessions whose incomplete requests are given up now: the largest, of equal ones those that
-  // have received nothing for longest, until the total leaves the present stage.
+  // The sessions whose incomplete requests are given up now, until the total leaves the present
+  // stage: those with the largest product of bytes and lag, of equal ones the largest. Before the
+  // last stage, small ones that keep arriving are spared.
   std::vector<std::size_t> choose_victims(std::vector<IncompleteRequest> requests) const;
   // How many entries of that size the table of quota leases may hold.
   std::size_t max_customers(std::size_t bytes_each) const;
