A request's time counts from when its last byte may have been written, not from its reading

Cause: RequestBodyStream::last_byte_hidden_since answered with the start of the present pause of reading, so a server that takes a part now and then moved it on; once the last chunk was read, the time began there. Change: policy::BodyArrival keeps the last moment at which the last byte had surely not been written: nothing lay unread, or more was missing than the sockets may hold. The deadline, the end of the attempt and X-Timeout-Ms count from there. Works because only a proof moves the moment, no longer a part that the server takes.

--- a/src/node/http_server.hpp
+++ b/src/node/http_server.hpp
@@ -25,8 +25,9 @@
     // Returns the request's number, with which on_client_disconnected is called later.
     virtual std::uint64_t on_request(ClientRequest request,
                                      std::shared_ptr<HttpSession> session) = 0;
-    // The last byte of a request has arrived whose body is forwarded while it arrives.
-    virtual void on_request_received(std::uint64_t request) = 0;
+    // The last byte of a request has arrived whose body is forwarded while it arrives. The client
+    // had not written it before `not_written_until`.
+    virtual void on_request_received(std::uint64_t request, Time not_written_until) = 0;
     virtual void on_client_disconnected(std::uint64_t request) = 0;
     // A session was about to break a guarantee to its client.
     virtual void on_invariant_violation(policy::InvariantViolation,
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -41,6 +41,7 @@
     buffer_.release_spare();
   if (body_stream_ && body_stream_->is_full()) {
     update_memory();
+    observe_body(false);
     return body_stream_->pause_reading(server_.timers_.now());
   }
   if (!may_read()) {
@@ -49,8 +50,11 @@
     return update_memory();
   }
   reading_paused_ = false;
-  // The time during which the body buffer was full does not count against the client.
-  if (body_stream_) request_started_time_ += body_stream_->resume_reading(server_.timers_.now());
+  if (body_stream_) {
+    // The time during which the body buffer was full does not count against the client.
+    request_started_time_ += body_stream_->resume_reading(server_.timers_.now());
+    observe_body(true);
+  }
   read_pending_ = true;
   socket_.async_read_some(
       buffer_.prepare(keeps_spare ? limits::kStreamChunkBytes : limits::kReadBufferBytes),
@@ -116,6 +120,8 @@
   if (failed)
     return close(failed == asio::error::eof ? SessionEndReason::client_closed
                                             : SessionEndReason::read_failed);
+  if (body_stream_ && std::exchange(has_read_all_input_, false))
+    body_arrival_->observe(server_.timers_.now(), body_observation(0));
   on_received(bytes);
   // Input behind a request that ends the session is discarded.
   if (state_ == State::lingering || (state_ != State::reading && !body_stream_ && !keep_alive_)) {
@@ -232,10 +238,29 @@
 void HttpSession::check_last_byte() {
   if (!body_stream_ || last_byte_arrived_ || request_number_ == 0 || !body_has_arrived()) return;
   last_byte_arrived_ = true;
-  server_.callbacks_.on_request_received(request_number_);
+  if (parser_->is_done()) body_arrival_->on_end_read(request_bytes_ - buffer_.size());
+  body_stream_->set_last_byte_hidden_since(std::nullopt);
+  server_.callbacks_.on_request_received(request_number_, body_arrival_->not_written_until());
   if (body_stream_) body_stream_->on_last_byte();
 }
 
+policy::BodyArrival::Observation HttpSession::body_observation(std::size_t unread_bytes) const {
+  policy::BodyArrival::Observation observation{request_bytes_, unread_bytes, std::nullopt};
+  if (const auto missing = parser_->content_length_remaining())
+    observation.missing_bytes = *missing;
+  return observation;
+}
+
+void HttpSession::observe_body(bool is_reading) {
+  if (last_byte_arrived_) return;
+  const auto unread = unread_bytes();
+  body_arrival_->observe(server_.timers_.now(), body_observation(unread));
+  has_read_all_input_ = is_reading && unread == 0;
+  const bool may_be_hidden = !has_read_all_input_ && !body_arrival_->is_end_out_of_reach();
+  body_stream_->set_last_byte_hidden_since(
+      may_be_hidden ? std::optional(body_arrival_->not_written_until()) : std::nullopt);
+}
+
 void HttpSession::on_request_parsed() {
   const bool is_complete = parser_->is_done();
   auto& head = parser_->get().base();
@@ -249,6 +274,10 @@
     body_stream_ = std::make_shared<RequestBodyStream>(
         length ? std::optional<std::uint64_t>(*length) : std::nullopt,
         policy::MemoryAccount(server_.overload_));
+    has_read_all_input_ = false;
+    body_arrival_.emplace(
+        std::min(request_started_time_, last_received_time_),
+        policy::BodyArrival::Limits{limits::kMaxSendBufferBytes, limits::kMaxSocketBufferBytes});
     body_stream_->set_capacity_callback([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->read();
     });
@@ -507,6 +536,7 @@
   check_paused_reading();
   if (pending_output_.empty() && write_pending_) pending_output_ = {}, update_memory();
   check_last_byte();  // it may have arrived while reading is paused
+  if (body_stream_ && !read_pending_) observe_body(false);
   if (state_ == State::streaming && !write_pending_) return;  // waits for the server
   if (state_ == State::waiting && body_stream_ && read_pending_ &&
       now - request_started_time_ >= request_timeout())
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -12,6 +12,7 @@
 #include "input_buffer.hpp"
 #include "limits.hpp"
 #include "net.hpp"
+#include "policy/body_arrival.hpp"
 #include "policy/overload_manager.hpp"
 #include "policy/receive_progress.hpp"
 #include "request_body_stream.hpp"
@@ -103,6 +104,10 @@
   bool body_has_arrived() const;
   // Starts the time of a request with a long body once its last byte has arrived.
   void check_last_byte();
+  // Notes how far a long body has been read, and tells its stream since when its last byte may lie
+  // unread. `is_reading`: what arrives is read at once.
+  void observe_body(bool is_reading);
+  policy::BodyArrival::Observation body_observation(std::size_t unread_bytes) const;
   // Answers a request whose header is too large or has too many fields.
   void reject_header();
   // Answers a request that can't be parsed, or is too long or too slow, and ends the session.
@@ -125,8 +130,10 @@
   State state_ = State::reading;
   Time opened_time_{}, last_received_time_{};
   Time request_started_time_{};
-  std::shared_ptr<RequestBodyStream> body_stream_;  // of a forwarded request that is still read
-  std::size_t request_bytes_ = 0;                   // received since the request began
+  std::shared_ptr<RequestBodyStream> body_stream_;   // of a forwarded request that is still read
+  std::optional<policy::BodyArrival> body_arrival_;  // of the last body_stream_
+  bool has_read_all_input_ = false;                  // of body_stream_; a read waits for more
+  std::size_t request_bytes_ = 0;                    // received since the request began
   policy::ReceiveProgress progress_{limits::kMinBodyBytesPerSecond};  // of the request being read
   // When the state was entered, a request's first byte was read, or bytes were last written.
   Time last_progress_time_{};
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -60,6 +60,8 @@
 // Upper bound of what the sockets of a client and of this node hold together; Linux's default
 // limits are 4 MiB and 6 MiB.
 inline constexpr std::uint64_t kMaxSocketBufferBytes = 16ULL << 20U;
+// The same of a client's socket alone.
+inline constexpr std::uint64_t kMaxSendBufferBytes = 8ULL << 20U;
 // Of a message's header; a request with a longer one is answered 431.
 inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
 // Of a message's header and trailer together; a request with more is answered 431.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -487,16 +487,16 @@
   return static_cast<std::uint64_t>(id);
 }
 
-// The time of a request whose body is forwarded while it arrives counts from now on.
-void Node::on_request_received(std::uint64_t request) {
+// The time of a request whose body is forwarded while it arrives counts from when the last byte may
+// have been written.
+void Node::on_request_received(std::uint64_t request, Time not_written_until) {
   const RequestId id{request};
   const auto it = open_requests_.find(id);
   if (it == open_requests_.end()) return;
-  const Time now = timers_.now();
   auto& deadline = it->second.request_message->deadline;
-  if (!deadline.on_last_byte(now)) return;
-  it->second.state.on_received(now);
-  handle_event(RequestReceived{id, deadline.time_left(now)});
+  if (!deadline.on_last_byte(not_written_until)) return;
+  it->second.state.on_received(not_written_until);
+  handle_event(RequestReceived{id, deadline.time_left(timers_.now())});
 }
 
 void Node::on_client_disconnected(std::uint64_t request) {
--- a/src/node/request_body_stream.hpp
+++ b/src/node/request_body_stream.hpp
@@ -28,7 +28,6 @@
   // Used by the session. The capacity callback is called when more may be appended.
   void append(std::string_view chunk) {
     buffered_.append(chunk);
-    received_bytes_ += chunk.size();
     memory_.set(policy::MemoryKind::bodies, buffered_.capacity());
     notify(on_data_);
   }
@@ -46,6 +45,8 @@
     reading_paused_time_ = now;
     notify(on_data_);
   }
+  // Since when the last byte may lie unread in the sockets' buffers; none: it can't lie there.
+  void set_last_byte_hidden_since(std::optional<Time> since) { last_byte_hidden_since_ = since; }
   // Returns for how long reading was paused.
   Duration resume_reading(Time now) {
     const auto paused = std::exchange(reading_paused_time_, std::nullopt);
@@ -66,11 +67,7 @@
   std::optional<std::uint64_t> length() const { return length_; }
   bool complete() const { return complete_; }
   bool aborted() const { return aborted_; }
-  // Since when reading is paused, if the last byte may lie unread in the sockets' buffers.
-  std::optional<Time> last_byte_hidden_since() const {
-    const bool fits = !length_ || *length_ - received_bytes_ <= limits::kMaxSocketBufferBytes;
-    return fits ? reading_paused_time_ : std::nullopt;
-  }
+  std::optional<Time> last_byte_hidden_since() const { return last_byte_hidden_since_; }
   // A part was drained, so the body can't be sent a second time.
   bool consumed() const { return consumed_; }
 
@@ -81,10 +78,9 @@
   }
 
   std::optional<std::uint64_t> length_;  // none: unknown
-  std::uint64_t received_bytes_ = 0;
   std::string buffered_;
   policy::MemoryAccount memory_;
-  std::optional<Time> reading_paused_time_;
+  std::optional<Time> reading_paused_time_, last_byte_hidden_since_;
   std::function<void()> on_capacity_, on_data_;
   bool complete_ = false, aborted_ = false, consumed_ = false;
 };
--- a/src/policy/request_deadline.hpp
+++ b/src/policy/request_deadline.hpp
@@ -9,6 +9,9 @@
 //   long, with a length    all that its length still announces lies in the socket's receive buffer
 //   long, in chunks        its last chunk is read, as nothing earlier tells which one is the last
 //
+// Where the last byte may have lain unread by then, the time counts from the last moment at which
+// it had surely not been written (BodyArrival).
+//
 // A long body is forwarded while it arrives. Until its last byte has arrived the request has no
 // deadline, unless the process ends: the client is bound by the rate at which it has to write, and
 // the price server by body_write_deadline().
@@ -72,14 +75,14 @@
 // How far a price server has taken a body that is forwarded while it arrives.
 struct BodyWriteProgress {
   Time last_write_time{};  // when it last took a part; at first, when the attempt was started
-  // Since when no more is read from the client because the server takes nothing. The body's last
-  // byte may lie unread. None: reading goes on, or so much is missing that it can't lie there.
+  // Since when the body's last byte may lie unread, as the server takes less than the client may
+  // have written (BodyArrival). None: all is read, or so much is missing that it can't lie there.
   std::optional<Time> last_byte_hidden_since{};
 };
 
-// Until when a price server has to take the rest of a body. A server that takes nothing ends the
-// attempt after `stall_timeout`, or as soon as the time of a client may be over whose last byte may
-// have arrived.
+// Until when a price server has to take the rest of a body. The attempt ends after `stall_timeout`
+// without a part that the server takes, and as soon as the time of a client may be over whose last
+// byte may lie unread.
 inline Time body_write_deadline(const RequestDeadline& deadline, const BodyWriteProgress& progress,
                                 Duration stall_timeout) {
   return std::min(deadline.earliest_time(progress.last_byte_hidden_since),
--- a/tests/request_deadline_test.cpp
+++ b/tests/request_deadline_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "gateway_fixture.hpp"
+#include "policy/body_arrival.hpp"
 #include "policy/request_state.hpp"
 
 namespace petrelrail::test {
@@ -51,6 +52,60 @@
   EXPECT_EQ(deadline.earliest_time(kStart + 1s), kStart + 2500ms);
   EXPECT_EQ(body_write_deadline(deadline, {kStart, kStart + 1s}, 10s), kStart + 2500ms);
 }
+// Guards against a last byte that is taken for unwritten while it may lie in a socket, and for
+// written while it surely is not.
+TEST(BodyArrivalTest, TheLastByteIsUnwrittenWhereNothingLiesUnreadOrTooMuchIsMissing) {
+  struct Step {
+    Duration time;
+    policy::BodyArrival::Observation observation;
+    Duration not_written_until;
+    bool is_out_of_reach = false;
+  };
+  struct Case {
+    const char* name;
+    std::vector<Step> steps;
+  };
+  const std::vector<Case> cases{
+      {"unknown length, nothing unread", {{1s, {100, 0}, 1s}, {2s, {100, 0}, 2s}}},
+      {"unknown length, never empty, little is read",
+       {{1s, {100, 0}, 1s}, {2s, {200, 1}, 1s}, {3s, {300, 50}, 1s}, {9s, {900, 1}, 1s}}},
+      {"unknown length, empty again", {{2s, {200, 50}, 0s}, {3s, {250, 0}, 3s}}},
+      {"unknown length, more was read than could have been written",
+       {{1s, {100, 50}, 0s}, {2s, {1149, 50}, 0s}, {3s, {1150, 50}, 1s}, {4s, {2199, 50}, 2s}}},
+      {"known length, as much is missing as may be written",
+       {{1s, {100, 50, 1051}, 1s}, {2s, {100, 51, 1051}, 1s}, {3s, {100, 50, 1051}, 3s}}},
+      {"known length, nothing unread", {{1s, {100, 0, 1}, 1s}, {2s, {100, 1, 1}, 1s}}},
+      {"known length, out of reach",
+       {{1s, {100, 900, 2001}, 1s, true}, {2s, {101, 999, 2000}, 2s}}},
+  };
+  for (const auto& [name, steps] : cases) {
+    policy::BodyArrival arrival(kStart, {1000, 2000});
+    for (const auto& step : steps) {
+      arrival.observe(kStart + step.time, step.observation);
+      EXPECT_EQ(arrival.not_written_until() - kStart, step.not_written_until)
+          << name << " at " << step.time.count();
+      EXPECT_EQ(arrival.is_end_out_of_reach(), step.is_out_of_reach) << name;
+    }
+  }
+}
+// Guards against a read that brings the end and passes for proof that it was not written before.
+TEST(BodyArrivalTest, AnEndThatIsReadCountsFromTheLastMomentAtWhichItWasNotWritten) {
+  for (const std::uint64_t end : {1150, 1151}) {
+    policy::BodyArrival arrival(kStart, {1000, 2000});
+    arrival.observe(kStart + 1s, {100, 50});
+    arrival.observe(kStart + 2s, {800, 50});
+    arrival.on_end_read(end);
+    EXPECT_EQ(arrival.not_written_until() - kStart, end > 1150 ? 1s : 0s);
+  }
+}
+// Guards against observations of a long upload that take memory without bound.
+TEST(BodyArrivalTest, ManyObservationsKeepTheBoundWithinAFewOfThem) {
+  policy::BodyArrival arrival(kStart, {1000, 2000});
+  for (std::uint64_t i = 0; i <= 900; ++i) arrival.observe(kStart + i * 1ms, {i, 100});
+  arrival.observe(kStart + 901ms, {1900, 100});
+  EXPECT_LE(arrival.not_written_until() - kStart, 800ms);
+  EXPECT_GE(arrival.not_written_until() - kStart, 750ms);
+}
 // Guards against a short answer that is left unfinished beyond its time, and a long one that is cut
 // off while parts of it arrive.
 TEST(RequestDeadlineTest, AnUnfinishedAnswerEndsAtItsTimeOrWhenItStalls) {
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -1,5 +1,7 @@
 // Tests of a complete edge node over loopback sockets whose clients write long bodies slowly: the
 // time of a request counts from its last byte. The rule itself: request_deadline_test.cpp.
+#include <sys/socket.h>
+
 #include "limits.hpp"
 #include "node_fixture.hpp"
 
@@ -135,6 +137,101 @@
   EXPECT_EQ(body_bytes(*w), kParts * part.size());
   EXPECT_TRUE(loop.until([&] { return w->in.ends_with("\r\n0\r\n\r\n"); }, 2s));
 }
+// A server that reads what its connection holds in parts, and an upload whose last byte is timed.
+struct SlowServer : SlowUpload {
+  static constexpr std::size_t kBodyBytes = 4UL << 20U;
+  static constexpr Duration kStep = 20ms;
+
+  void start() {
+    SlowUpload::start();
+    for (auto* peer : {&server, &second}) peer->accept_without_reading();
+  }
+  // Reads at most that much from each connection to a price server; returns what was read.
+  std::size_t read_part(std::size_t max_bytes) {
+    std::size_t total = 0;
+    std::vector<char> part(max_bytes);
+    for (const auto* peer : {&server, &second})
+      for (const auto& w : peer->wires) {
+        const auto n = ::recv(w->socket.native_handle(), part.data(), part.size(), MSG_DONTWAIT);
+        if (n <= 0) continue;
+        total += static_cast<std::size_t>(n);
+        reader = w;
+        received.append(part.data(), static_cast<std::size_t>(n));
+        received.erase(0, received.size() - std::min<std::size_t>(received.size(), 16));
+      }
+    return total;
+  }
+  void step() {
+    loop.io.restart();
+    loop.io.run_for(kStep);
+  }
+  std::shared_ptr<Wire> upload(Framing framing, const std::string& timeout) {
+    const auto parts = request(framing, kBodyBytes, timeout);
+    const auto w = client();
+    written.reset();
+    text = parts.start + parts.last_byte;
+    asio::async_write(w->socket, asio::buffer(text), [this](const error_code& failed, std::size_t) {
+      if (!failed) written = std::chrono::steady_clock::now();
+    });
+    return w;
+  }
+  // Waits for the answer while the servers read that much every kStep for a time, and then all.
+  Duration time_of_answer(const std::shared_ptr<Wire>& w, std::size_t part, Duration time) {
+    const auto start = std::chrono::steady_clock::now();
+    while (w->in.empty() && !w->ended && std::chrono::steady_clock::now() - start < 15s) {
+      const bool is_slow = std::chrono::steady_clock::now() - start < time;
+      read_part(is_slow ? part : kBodyBytes);
+      step();
+    }
+    return std::chrono::steady_clock::now() - written.value();
+  }
+
+  std::string text, received;  // of the upload; the end of what the servers have received
+  std::shared_ptr<Wire> reader;
+  std::optional<std::chrono::steady_clock::time_point> written;
+};
+// Guards against a last byte that lies in sockets' buffers while its server takes a part now and
+// then: the request's time began when it was read (review, case 8).
+TEST_F(SlowServer, ABodyThatItsServerReadsSlowlyIsAnsweredInItsTime) {
+  start();
+  for (const auto framing : {Framing::length, Framing::chunked}) {
+    for (const Duration slow_time : {Duration(15s), Duration(800ms)}) {
+      SCOPED_TRACE(testing::Message() << "chunked " << (framing == Framing::chunked)
+                                      << ", slow for " << slow_time.count() << " ns");
+      const auto w = upload(framing, "1000");
+      ASSERT_TRUE(loop.until([&] { return written.has_value(); }, 5s));
+      EXPECT_LT(time_of_answer(w, 16'000, slow_time), 1s + 500ms);
+      EXPECT_GE(status(w), 500);
+      ASSERT_TRUE(loop.until([&] { return node->open_requests() == 0; }));
+    }
+  }
+}
+// Guards against an upload that is given up since its server was behind once, though it has caught
+// up and the client still writes.
+TEST_F(SlowServer, AClientThatWritesForLongIsServedAlthoughItsServerRested) {
+  start();
+  constexpr std::size_t kPart = 120'000, kParts = 190;  // of a body; one every kStep
+  constexpr std::size_t kRestFrom = 20, kRestUntil = 70;
+  for (const auto framing : {Framing::length, Framing::chunked}) {
+    const auto parts = request(framing, kPart * kParts, "2000");
+    const auto whole = parts.start + parts.last_byte;
+    const auto w = client();
+    received.clear();
+    for (std::size_t i = 0; i <= kParts && !w->ended && w->in.empty(); ++i) {
+      if (i * kPart < whole.size()) w->send(whole.substr(i * kPart, kPart));
+      if (i < kRestFrom || i >= kRestUntil) read_part(kBodyBytes);
+      step();
+    }
+    const auto has_ended = [&] {
+      return read_part(kBodyBytes) == 0 && received.ends_with(whole.substr(whole.size() - 5));
+    };
+    ASSERT_TRUE(loop.until([&] { return has_ended() || !w->in.empty(); })) << received;
+    if (w->in.empty()) reader->send(http_answer("200 OK", "served"));
+    EXPECT_EQ(status(w), 200);
+    for (auto* peer : {&server, &second})
+      for (const auto& wire : peer->wires) wire->close();
+  }
+}
 // Guards against a client's stop counting as its server's time-out: a few such clients shrank the
 // capacity that the node gives to everybody else.
 TEST_F(SlowUpload, AClientThatStopsInALongBodyIsNoTimeoutOfItsServer) {
