An answer of unknown length ends in time unless its pace makes it a long one

Cause: response_stall_deadline gave an answer of unknown length another second with each part, whatever had come in all; bytes of extensions and trailers counted as parts. The same class: a counter's answer without an end kept its connection alive by each byte, and extensions of chunks counted as a body that arrives. Evidence: the function's own table held 31 s for a part at 30 s; a silent server was cut off in time, so the timer itself works. Change: the bound knows the answer's begin, its last part of body and its bytes. Tests, which fail before: Trickle.* (7 shapes of answers; extensions of requests; long answers that begin late), one of the counter; tables in RequestDeadlineTest, in place of one that wanted each part to move the end, which is the fault.

--- a/src/node/counter_client.cpp
+++ b/src/node/counter_client.cpp
@@ -42,7 +42,7 @@
       self->timers_.cancel(self->timer_);
       self->state_ = State::up;
       self->input_.clear();
-      self->last_received_time_ = self->timers_.now();
+      self->last_response_time_ = self->timers_.now();
       set_no_delay(self->socket_);
       self->read();
       if (self->unresponsive_) self->ping();
@@ -184,7 +184,6 @@
                                 return;
                               if (failed) return self->on_connection_lost();
                               self->input_.append(self->read_buffer_.data(), bytes);
-                              self->last_received_time_ = self->timers_.now();
                               if (!self->process_lines()) return self->on_connection_lost();
                               self->read();
                             });
@@ -199,6 +198,7 @@
       const std::string_view line(input_.data() + begin, end - begin);
       begin = end + 2;
       if (sent_.empty()) return false;
+      last_response_time_ = timers_.now();
       backoff_ = {};  // only a response shows that the counter is healthy
       if (std::exchange(unresponsive_, false)) on_recovered_();
       Call c = std::move(sent_.front());
@@ -251,11 +251,11 @@
   // as idle.
   void check_liveness() {
     const Time now = timers_.now();
-    if (!sent_.empty() && now - std::max(last_received_time_, sent_.front().start_time) >
+    if (!sent_.empty() && now - std::max(last_response_time_, sent_.front().start_time) >
                               limits::kCounterSilenceTimeouts * timeout_)
       return on_connection_lost();
     if (sent_.empty() &&
-        (unresponsive_ || now - last_received_time_ > limits::kCounterIdleTimeout / 4))
+        (unresponsive_ || now - last_response_time_ > limits::kCounterIdleTimeout / 4))
       ping();
     timer_ = timers_.after(limits::kCounterSilenceTimeouts * timeout_ / 4,
                            [self = shared_from_this()] {
@@ -280,8 +280,8 @@
   std::array<char, limits::kReadBufferBytes> read_buffer_{};
   Timers::Handle timer_;
   Duration backoff_{};
-  std::mt19937_64 random_;  // spreads the reconnects of a fleet's nodes over time
-  Time last_received_time_{};
+  std::mt19937_64 random_;     // spreads the reconnects of a fleet's nodes over time
+  Time last_response_time_{};  // a line; parts of one show nothing
   // Unresponsive: since the last response a call timed out or the connection was lost.
   bool has_tried_ = false, unresponsive_ = false;
 };
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -223,6 +223,7 @@
   auto& body = parser_->get().body();
   const auto stream = body_stream_;
   if (parser_->is_done()) body_stream_.reset();
+  streamed_body_bytes_ += body.size();
   if (!body.empty()) stream->append(std::exchange(body, {}));
   if (body_stream_) return;
   parser_.reset();
@@ -304,6 +305,7 @@
     if (request.deadline.time() <= server_.timers_.now())
       throw RequestError(http::status::service_unavailable, "the time of the request is over");
     if (stream) {
+      streamed_body_bytes_ = request.body.size();
       stream->append(std::exchange(request.body, {}));
       request.body_stream = stream;
     }
@@ -564,10 +566,18 @@
   evict(is_writing ? SessionEndReason::reader_too_slow : SessionEndReason::request_too_slow);
 }
 
+std::size_t HttpSession::body_bytes() const {
+  return body_stream_ ? streamed_body_bytes_ : parser_->get().body().size();
+}
+
 // Time for a header, plus the time that the bytes received so far take at the minimum body rate.
+// Extensions of chunks and trailers, which have no end of their own, count in proportion to the
+// body.
 Duration HttpSession::request_timeout() const {
   if (!parser_ || !parser_->is_header_done()) return limits::kHeaderTimeout;
-  const std::chrono::duration<double> body_time(static_cast<double>(request_bytes_) /
+  const auto counted = std::min(request_bytes_,
+                                limits::kMaxHeaderBytes + limits::kMaxCodingFactor * body_bytes());
+  const std::chrono::duration<double> body_time(static_cast<double>(counted) /
                                                 limits::kMinBodyBytesPerSecond);
   return limits::kHeaderTimeout + std::chrono::duration_cast<Duration>(body_time);
 }
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -117,6 +117,8 @@
   void on_response_written();
   void enter(State state);
   Duration request_timeout() const;
+  // What was received of the body of the request in flight or being read, without its coding.
+  std::size_t body_bytes() const;
   void log_unanswered(SessionEndReason reason) const;
   void reject_immediately();
 
@@ -133,6 +135,7 @@
   std::shared_ptr<RequestBodyStream> body_stream_;   // of a forwarded request that is still read
   std::optional<policy::BodyArrival> body_arrival_;  // of the last body_stream_
   bool has_read_all_input_ = false;                  // of body_stream_; a read waits for more
+  std::size_t streamed_body_bytes_ = 0;              // handed to body_stream_
   std::size_t request_bytes_ = 0;                    // received since the request began
   policy::ReceiveProgress progress_{limits::kMinBodyBytesPerSecond};  // of the request being read
   // When the state was entered, a request's first byte was read, or bytes were last written.
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -57,6 +57,10 @@
 inline constexpr Duration kStreamStallTimeout = 10s;
 // The same for a response of unknown length whose time is over.
 inline constexpr Duration kMaxLatePartInterval = 1s;
+// Within which such a response has to pass kMaxBodyBytes.
+inline constexpr Duration kMaxTimeToLongResponse = kStreamStallTimeout;
+// The first part of a response is forwarded this long before its request's deadline at the latest.
+inline constexpr Duration kFirstPartMargin = 50ms;
 // Upper bound of what the sockets of a client and of this node hold together; Linux's default
 // limits are 4 MiB and 6 MiB.
 inline constexpr std::uint64_t kMaxSocketBufferBytes = 16ULL << 20U;
@@ -91,6 +95,8 @@
 inline constexpr Duration kHeaderTimeout = 2600ms;
 // Minimum rate of a body after the header's time.
 inline constexpr double kMinBodyBytesPerSecond = 64.0e3;
+// What counts of a body's coding, as a multiple of its data; a chunk of one byte takes six bytes.
+inline constexpr std::size_t kMaxCodingFactor = 8;
 // A client that reads nothing of its response for this long is disconnected.
 inline constexpr Duration kWriteTimeout = 10s;
 // Time for a client to read a response that ends its connection,
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -106,6 +106,7 @@
   unsolicited_input_ = streaming_ = paused_ = write_pending_ = false;
   deferred_end_reason_.reset();
   response_started_ = {};
+  hold_until_ = Time::max();
   if (exchange_->request_message && exchange_->request_message->body_stream)
     return start_body_stream();
   arm_deadline_timer();
@@ -354,13 +355,14 @@
 
 void UpstreamConnection::start_hold_timer() {
   response_started_ = upstream_.timers_.now();
-  hold_timer_ = upstream_.timers_.after(limits::kMaxResponseBufferTime,
-                                        [self = shared_from_this()] {
-                                          self->hold_timer_.reset();
-                                          if (!self->should_stream()) return;
-                                          self->start_streaming();
-                                          if (self->state_ != State::closed) self->forward_chunk();
-                                        });
+  hold_until_ = std::min(response_started_ + limits::kMaxResponseBufferTime,
+                         exchange_->deadline - limits::kFirstPartMargin);
+  hold_timer_ = upstream_.timers_.at(hold_until_, [self = shared_from_this()] {
+    self->hold_timer_.reset();
+    if (!self->should_stream()) return;
+    self->start_streaming();
+    if (self->state_ != State::closed) self->forward_chunk();
+  });
 }
 
 // Whether the received part should be passed on now. A response that is still held back, or of
@@ -376,8 +378,7 @@
                                 : limits::kMaxBufferedResponseBytes;
   return answer.result() == http::status::ok && state_ == State::waiting &&
          (answer.body().size() >= max_buffered || (length && *length > limits::kMaxBodyBytes) ||
-          (response_started_ != Time{} &&
-           upstream_.timers_.now() - response_started_ >= limits::kMaxResponseBufferTime));
+          upstream_.timers_.now() >= hold_until_);
 }
 
 void UpstreamConnection::start_streaming() {
@@ -389,6 +390,7 @@
   exchange_->response_started = upstream_.timers_.now();
   streaming_ = true;
   forwarded_bytes_ = 0;
+  last_part_time_ = exchange_->response_started;
   const auto self = shared_from_this();
   if (!upstream_.callbacks_.on_stream_started(*exchange_, head))
     close(AttemptOutcome::cancelled, AttemptEndReason::client_disconnected);
@@ -418,6 +420,7 @@
 
 void UpstreamConnection::on_chunk_written() {
   if (state_ == State::closed || !std::exchange(paused_, false)) return;
+  last_part_time_ = upstream_.timers_.now();
   arm_stall_timer();
   read();
 }
@@ -432,8 +435,10 @@
 // A response that is not complete in time is ended, and its client sees it cut off.
 void UpstreamConnection::arm_stall_timer() {
   const Time due = policy::response_stall_deadline(
-      exchange_->request_message->deadline, upstream_.timers_.now(), response_length(),
-      {limits::kStreamStallTimeout, limits::kMaxResponseLateness, limits::kMaxLatePartInterval});
+      exchange_->request_message->deadline,
+      {response_length(), response_started_, last_part_time_, forwarded_bytes_},
+      {limits::kStreamStallTimeout, limits::kMaxResponseLateness, limits::kMaxLatePartInterval,
+       limits::kMaxBodyBytes, limits::kMaxTimeToLongResponse});
   upstream_.timers_.cancel(deadline_timer_);
   deadline_timer_ = upstream_.timers_.at(due, [self = shared_from_this()] {
     self->deadline_timer_.reset();
--- a/src/node/upstream_connection.hpp
+++ b/src/node/upstream_connection.hpp
@@ -109,6 +109,8 @@
   std::size_t forwarded_bytes_ = 0;            // of the streamed response
   bool paused_ = false;                        // until the client has taken the last chunk
   Time response_started_{};                    // when the response's head was complete
+  Time hold_until_ = Time::max();              // the response is passed on from then on
+  Time last_part_time_{};                      // when a part of the response was last passed on
   // Why the connection broke while the request was being written; reported when the write ends.
   std::optional<AttemptEndReason> deferred_end_reason_;
   bool unsolicited_input_ = false;  // the server answered a request that is still being written
--- a/src/policy/request_deadline.hpp
+++ b/src/policy/request_deadline.hpp
@@ -18,6 +18,8 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <optional>
 
 #include "petrelrail/types.hpp"
@@ -91,22 +93,40 @@
 
 // What is known of the length of a response that is forwarded while it arrives.
 enum class ResponseLength { within_limit, over_limit, unknown };
+struct ResponseProgress {
+  ResponseLength length = ResponseLength::unknown;
+  Time start_time{};             // when its head had arrived
+  Time last_part_time{};         // when a part of its body was last passed on
+  std::uint64_t body_bytes = 0;  // passed on so far
+};
 struct ResponseLimits {
   Duration stall_timeout{};      // without a part of a long response
   Duration max_lateness{};       // of a short response, after its request's deadline
   Duration max_part_interval{};  // of one that may turn out long, once its time is over
+  std::uint64_t long_bytes = 0;  // a response with more is a long one
+  Duration long_time{};          // within which one of unknown length has to pass that
 };
 
-// When such a response ends unfinished if nothing more of it comes after `now`. A long one may take
-// any time as long as parts of it keep arriving; a short one has to be complete soon after its
-// request's deadline. One of unknown length may still be a long one: once its time is over, its
-// parts have to come faster.
-inline Time response_stall_deadline(const RequestDeadline& deadline, Time now,
-                                    ResponseLength length, const ResponseLimits& limits) {
-  const Time stalled = now + limits.stall_timeout;
-  if (length == ResponseLength::over_limit || deadline.time() == Time::max()) return stalled;
-  const Time next_part = length == ResponseLength::unknown ? now + limits.max_part_interval : now;
-  return std::min(stalled, std::max(next_part, deadline.time() + limits.max_lateness));
+// When such a response ends unfinished if nothing more of its body comes. A long one may take any
+// time as long as parts of it keep arriving; a short one has to be complete soon after its
+// request's deadline. One of unknown length may still be a long one: once its time is over, it has
+// to go on without long pauses, and at a pace that makes it a long one within a fixed time. Parts
+// that come more slowly move its end by less than they take, so that it ends.
+inline Time response_stall_deadline(const RequestDeadline& deadline,
+                                    const ResponseProgress& progress,
+                                    const ResponseLimits& limits) {
+  const Time stalled = progress.last_part_time + limits.stall_timeout;
+  if (progress.length == ResponseLength::over_limit || deadline.time() == Time::max())
+    return stalled;
+  const Time latest = deadline.time() + limits.max_lateness;
+  if (progress.length == ResponseLength::within_limit) return std::min(stalled, latest);
+  const auto share = static_cast<double>(progress.body_bytes) /
+                     static_cast<double>(limits.long_bytes);
+  const std::chrono::duration<double> time_at_pace = share * limits.long_time;
+  const Time next_part = std::min(
+      progress.last_part_time + limits.max_part_interval,
+      progress.start_time + std::chrono::duration_cast<Duration>(time_at_pace));
+  return std::min(stalled, std::max(next_part, latest));
 }
 
 }  // namespace petrelrail::policy
--- a/tests/counter_client_test.cpp
+++ b/tests/counter_client_test.cpp
@@ -199,6 +199,31 @@
 }
 // A counter that stopped answering must be pinged, on the silent connection and on its
 // replacements, so that its recovery is noticed without a call that could time out.
+// Guards against a counter whose answer comes byte by byte and never ends: each byte passed for a
+// sign of life, and calls behind it waited for as long.
+TEST_F(CounterTest, AnAnswerThatTricklesEndsItsConnection) {
+  constexpr Duration kTimeout = 50ms;
+  std::shared_ptr<Wire> trickling;
+  Peer server(loop.io, [&](Wire& w) {
+    for (auto l = w.line(); !l.empty(); l = w.line())
+      if (l == "ping")
+        w.send("pong\r\n");
+      else
+        trickling = w.shared_from_this();
+  });
+  start(server.endpoint(), kTimeout);
+  call(7);
+  ASSERT_TRUE(loop.until([&] { return trickling != nullptr; }));
+  const auto start_time = std::chrono::steady_clock::now();
+  while (!trickling->ended && std::chrono::steady_clock::now() - start_time < 5s) {
+    trickling->send("o");
+    const auto next = std::chrono::steady_clock::now() + kTimeout;
+    loop.until([&] { return std::chrono::steady_clock::now() >= next; });
+  }
+  EXPECT_TRUE(trickling->ended);
+  EXPECT_LT(std::chrono::steady_clock::now() - start_time,
+            2 * limits::kCounterSilenceTimeouts * kTimeout);
+}
 TEST_F(CounterTest, ASilentCounterIsPingedUntilItIsThereAgain) {
   bool silent = true;
   std::size_t calls = 0;
--- a/tests/request_deadline_test.cpp
+++ b/tests/request_deadline_test.cpp
@@ -106,30 +106,37 @@
   EXPECT_LE(arrival.not_written_until() - kStart, 800ms);
   EXPECT_GE(arrival.not_written_until() - kStart, 750ms);
 }
-// Guards against a short answer that is left unfinished beyond its time, and a long one that is cut
-// off while parts of it arrive.
-TEST(RequestDeadlineTest, AnUnfinishedAnswerEndsAtItsTimeOrWhenItStalls) {
-  const auto due = [](const RequestDeadline& deadline, Duration after, bool is_short) {
-    const auto length = is_short ? policy::ResponseLength::within_limit
-                                 : policy::ResponseLength::over_limit;
-    return policy::response_stall_deadline(deadline, kStart + after, length, {10s, 400ms, 1s}) -
-           kStart;
+// Guards against a short answer that is left unfinished beyond its time, one that every part moves
+// on without end (review, case 10), and a long one that is cut off while it arrives.
+TEST(RequestDeadlineTest, AnUnfinishedAnswerEndsAtItsTimeOrWhenItStallsOrIsTooSlow) {
+  using Length = policy::ResponseLength;
+  // Of the answer: begun 1 s after the request, whose time is 2 s; 1,000 bytes make it a long one.
+  struct Case {
+    Length length;
+    Duration last_part;
+    std::uint64_t bytes;
+    Duration end;
   };
-  const auto deadline = RequestDeadline::running(kStart, 2s);
-  EXPECT_EQ(due(deadline, 1s, true), 2400ms);
-  EXPECT_EQ(due(deadline, 3s, true), 3s);
-  EXPECT_EQ(due(deadline, 3s, false), 13s);
-  EXPECT_EQ(due(RequestDeadline::running(kStart, 60s), 1s, true), 11s);
-}
-TEST(RequestDeadlineTest, AnAnswerOfUnknownLengthGoesOnWhileItsPartsKeepComing) {
-  const auto due = [](Duration after) {
-    return policy::response_stall_deadline(RequestDeadline::running(kStart, 2s), kStart + after,
-                                           policy::ResponseLength::unknown, {10s, 400ms, 1s}) -
-           kStart;
+  const std::vector<Case> cases{
+      {Length::within_limit, 1s, 10, 2400ms}, {Length::within_limit, 30s, 900, 2400ms},
+      {Length::over_limit, 3s, 10, 13s},      {Length::over_limit, 90s, 10, 100s},
+      {Length::unknown, 1s, 10, 2400ms},      {Length::unknown, 1s, 900, 2400ms},
+      {Length::unknown, 2s, 140, 2400ms},     {Length::unknown, 2s, 150, 2500ms},
+      {Length::unknown, 2s, 900, 3s},         {Length::unknown, 2400ms, 16, 2400ms},
+      {Length::unknown, 9s, 900, 10s},        {Length::unknown, 9500ms, 950, 10500ms},
+      {Length::unknown, 30s, 999, 10990ms},
   };
-  EXPECT_EQ(due(1s), 2400ms);
-  EXPECT_EQ(due(2s), 3s);
-  EXPECT_EQ(due(30s), 31s);
+  const auto deadline = RequestDeadline::running(kStart, 2s);
+  const policy::ResponseLimits limits{10s, 400ms, 1s, 1000, 10s};
+  for (const auto& [length, last_part, bytes, end] : cases) {
+    const policy::ResponseProgress progress{length, kStart + 1s, kStart + last_part, bytes};
+    EXPECT_EQ(response_stall_deadline(deadline, progress, limits) - kStart, end)
+        << static_cast<int>(length) << ' ' << last_part.count() << ' ' << bytes;
+  }
+  const policy::ResponseProgress progress{Length::within_limit, kStart, kStart + 1s, 10};
+  EXPECT_EQ(response_stall_deadline(RequestDeadline::running(kStart, 60s), progress, limits),
+            kStart + 11s);
+  EXPECT_EQ(response_stall_deadline(RequestDeadline::pending(2s), progress, limits), kStart + 11s);
 }
 // Guards against a retry being turned down, or a request reported as overdue, while it still
 // arrives.
--- a/tests/slow_upload_test.cpp
+++ b/tests/slow_upload_test.cpp
@@ -137,6 +137,120 @@
   EXPECT_EQ(body_bytes(*w), kParts * part.size());
   EXPECT_TRUE(loop.until([&] { return w->in.ends_with("\r\n0\r\n\r\n"); }, 2s));
 }
+// Requests and answers whose end every byte may move.
+struct Trickle : SlowUpload {
+  static constexpr Duration kInterval = 100ms;
+  // Sends the part every kInterval until the wire to the client has ended; returns after how long.
+  Duration time_until_end(const std::shared_ptr<Wire>& client, const std::shared_ptr<Wire>& sender,
+                          const std::string& part) {
+    const auto start_time = std::chrono::steady_clock::now();
+    const auto elapsed = [&] { return std::chrono::steady_clock::now() - start_time; };
+    while (!client->ended && elapsed() < 8s) {
+      sender->send(part);
+      wait(kInterval);
+    }
+    return elapsed();
+  }
+};
+// Guards against an answer of unknown length that comes in small parts, or in bytes that are no
+// part of its body, and never ends (review, case 10).
+TEST_F(Trickle, AnAnswerThatNeverEndsIsCutOffInItsTime) {
+  start();
+  answer_complete_requests();
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string by_connection = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+  const std::string with_length = "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n";
+  const std::string part(500, 'z');
+  struct Case {
+    std::string start, part;
+  };
+  const std::vector<Case> cases{
+      {chunked + chunk(part), chunk(part)},
+      {by_connection + part, part},
+      {with_length + part, part},
+      {chunked + chunk(part) + "1;", "e"},
+      {chunked + chunk(part) + "0\r\nt: ", "t"},
+      {"HTTP/1.1 200 OK\r\nt: ", "t"},
+      {"HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"}};
+  for (const auto& [answer_start, answer_part] : cases) {
+    SCOPED_TRACE(answer_start.substr(0, 80));
+    answer_text = answer_start;
+    answered.reset();
+    const auto w = client();
+    const auto parts = request(Framing::length, 10, "500");
+    w->send(parts.start + parts.last_byte);
+    ASSERT_TRUE(loop.until([&] { return answered != nullptr; }));
+    const auto has_ended = [&] {
+      return w->ended || w->in.find("HTTP/1.1 5") != std::string::npos;
+    };
+    const auto start_time = std::chrono::steady_clock::now();
+    while (!has_ended() && std::chrono::steady_clock::now() - start_time < 5s) {
+      answered->send(answer_part);
+      loop.until(has_ended, kInterval);
+    }
+    // Half a second after its time, and the 50 ms that PROTOCOL adds.
+    EXPECT_LT(std::chrono::steady_clock::now() - start_time, 1050ms);
+  }
+}
+// Guards against an answer that turns out long being cut off since it was short when its time was
+// over, or since it had only begun then.
+TEST_F(Trickle, ALongAnswerOfUnknownLengthThatBeginsInTimeIsComplete) {
+  start();
+  answer_complete_requests();
+  constexpr std::size_t kPartBytes = 3000, kParts = 30;
+  const std::string part(kPartBytes, 'z');
+  for (const bool is_chunked : {true, false}) {
+    for (const bool begins_late : {true, false}) {
+      SCOPED_TRACE(testing::Message() << "chunked " << is_chunked << ", late " << begins_late);
+      answer_text.clear();
+      answered.reset();
+      const auto w = client();
+      const auto parts = request(Framing::length, 10, "500");
+      w->send(parts.start + parts.last_byte);
+      ASSERT_TRUE(loop.until([&] { return answered != nullptr; }));
+      if (begins_late) wait(350ms);
+      answered->send(is_chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                : "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+      for (std::size_t i = 0; i < kParts && !w->ended; ++i) {
+        answered->send(is_chunked ? chunk(part) : part);
+        wait(kInterval);
+      }
+      answered->send(is_chunked ? "0\r\n\r\n" : "", true);
+      EXPECT_TRUE(loop.until([&] { return body_bytes(*w) == kParts * kPartBytes || w->ended; }));
+      EXPECT_EQ(body_bytes(*w), kParts * kPartBytes);
+    }
+  }
+}
+// Guards against a request whose chunks carry long extensions and next to no body: they counted as
+// a body that arrives at the lowest rate.
+TEST_F(Trickle, ExtensionsOfChunksKeepNoRequestAlive) {
+  start();
+  answer_complete_requests();
+  const auto head = request(Framing::chunked, 1, "60000").start;
+  const auto body_at = head.find("\r\n\r\n") + 4;
+  const auto w = client();
+  w->send(head.substr(0, body_at));
+  const std::string part = "1;" + std::string(limits::kMaxHeaderBytes - 100, 'e') + "\r\nb\r\n";
+  EXPECT_LT(time_until_end(w, w, part), 4s);
+  EXPECT_TRUE(w->in.starts_with("HTTP/1.1 408 ")) << w->in;
+}
+TEST_F(Trickle, AShortBodyInChunksOfOneByteIsServed) {
+  start();
+  answer_complete_requests();
+  answer_text = http_answer("200 OK", "served");
+  const auto head = request(Framing::chunked, 1, "60000").start;
+  const auto w = client();
+  w->send(head.substr(0, head.find("\r\n\r\n") + 4));
+  constexpr std::size_t kParts = 40, kChunksInPart = 1200;
+  std::string part;
+  for (std::size_t i = 0; i < kChunksInPart; ++i) part += chunk("b");
+  for (std::size_t i = 0; i < kParts; ++i) {
+    w->send(part);
+    wait(kInterval);
+  }
+  w->send("0\r\n\r\n");
+  EXPECT_EQ(status(w), 200);
+}
 // A server that reads what its connection holds in parts, and an upload whose last byte is timed.
 struct SlowServer : SlowUpload {
   static constexpr std::size_t kBodyBytes = 4UL << 20U;
