No attempt begins for a client whose close may lie behind a body that isn't read

Cause: a node stopped reading a waiting body at 16 KiB. The rest shut the receive window, and the close stayed at the client's machine; poll() showed POLLIN alone with 107,493 bytes unread, which counted as a client that is there.

The body of a waiting request is read on while peers hold under 40 in a hundred of the memory budget, so that its close shows. Input behind a waiting request is read to its end before its attempt; far more of it is discarded as soon as reading pauses.

--- a/include/petrelrail/events.hpp
+++ b/include/petrelrail/events.hpp
@@ -83,6 +83,13 @@
   Duration connect_duration{};
 };
 
+// The host can know only until `latest_start` that the client is connected: no attempt may begin
+// after that.
+struct StartLimited {
+  RequestId request{};
+  Time latest_start{};
+};
+
 struct HealthCheckEnded {
   EndpointId endpoint{};
   AttemptOutcome outcome = AttemptOutcome::ok;
@@ -141,6 +148,6 @@
 using Event = std::variant<EndpointListUpdate, RequestArrived, AttemptEnded, HealthCheckEnded,
                            TimerDue, ClientDisconnected, CounterResponse, CounterRecovered,
                            TimeAdvanced, FleetView, OperatorEjection, SettingsChanged, RestoreState,
-                           RequestReceived>;
+                           RequestReceived, StartLimited>;
 
 }  // namespace petrelrail
--- a/src/node/http_server.hpp
+++ b/src/node/http_server.hpp
@@ -28,6 +28,9 @@
     // The last byte of a request has arrived whose body is forwarded while it arrives. The client
     // had not written it before `not_written_until`.
     virtual void on_request_received(std::uint64_t request, Time not_written_until) = 0;
+    // The rest of a request's body is left unread, so that its client may have disconnected unseen
+    // from `latest_start` on.
+    virtual void on_start_limited(std::uint64_t /*request*/, Time /*latest_start*/) {}
     virtual void on_client_disconnected(std::uint64_t request) = 0;
     // A session was about to break a guarantee to its client.
     virtual void on_invariant_violation(policy::InvariantViolation,
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -39,16 +39,8 @@
   const bool keeps_spare = body_stream_ && !server_.overload_->is_under_pressure();
   if (buffer_.size() == 0 && buffer_.capacity() > 2 * limits::kReadBufferBytes && !keeps_spare)
     buffer_.release_spare();
-  if (body_stream_ && body_stream_->is_full()) {
-    update_memory();
-    observe_body(false);
-    return body_stream_->pause_reading(server_.timers_.now());
-  }
-  if (!may_read()) {
-    if (!std::exchange(reading_paused_, true))
-      server_.overload_->count(policy::SheddingReason::input_paused);
-    return update_memory();
-  }
+  if (body_stream_ && body_stream_->is_full()) return pause_body();
+  if (!may_read()) return pause_read_ahead();
   reading_paused_ = false;
   if (body_stream_) {
     // The time during which the body buffer was full does not count against the client.
@@ -72,7 +64,25 @@
 void HttpSession::check_paused_reading() {
   if (!reading_paused_ || read_pending_) return;
   if (may_read()) return read();
-  client_is_connected();
+  if (has_received_close()) return close_for_client();
+  if (is_far_ahead()) discard_input();
+}
+
+void HttpSession::pause_read_ahead() {
+  if (!std::exchange(reading_paused_, true))
+    server_.overload_->count(policy::SheddingReason::input_paused);
+  update_memory();
+  // Begun now, so that the input is read to its end by the time of the attempt.
+  if (request_number_ != 0 && state_ == State::waiting && is_far_ahead()) discard_input();
+}
+
+void HttpSession::pause_body() {
+  update_memory();
+  observe_body(false);
+  body_stream_->pause_reading(server_.timers_.now());
+  if (request_number_ == 0 || body_stream_->consumed() || std::exchange(start_is_limited_, true))
+    return;
+  server_.callbacks_.on_start_limited(request_number_, presence_.latest_start());
 }
 
 std::size_t HttpSession::unread_bytes() const {
@@ -86,24 +96,63 @@
          unread_bytes() >= limits::kMaxUnreadInputBytes;
 }
 
-bool HttpSession::discard_input() {
+policy::ClientPresence HttpSession::read_ahead() {
+  static constexpr auto kMaxBytes = limits::kMaxReadAheadBytes + limits::kMaxUnreadInputBytes;
+  if (!keep_alive_) return discard_input();
+  // A pending read began at an empty socket, or in this turn of the event loop.
+  if (read_pending_) return policy::ClientPresence::connected;
+  for (auto unread = unread_bytes(); unread > 0; unread = unread_bytes()) {
+    if (buffer_.size() + unread > kMaxBytes) return discard_input();
+    if (server_.overload_->is_under_pressure())
+      return presence_.with_unread_input(server_.timers_.now());
+    if (receive_some(unread) <= 0) break;
+  }
+  update_memory();
+  if (!has_received_close()) return confirm_presence();
+  close_for_client();
+  return policy::ClientPresence::disconnected;
+}
+
+policy::ClientPresence HttpSession::discard_input() {
   keep_alive_ = false;
   buffer_.clear();
-  if (!discard_received(limits::kMaxDiscardedBytes)) return false;
+  const auto presence = discard_received(limits::kMaxDiscardedBytes);
+  if (presence == policy::ClientPresence::disconnected) {
+    close_for_client();
+    return presence;
+  }
   read();
-  return true;
+  return presence == policy::ClientPresence::connected
+             ? confirm_presence()
+             : presence_.with_unread_input(server_.timers_.now());
+}
+
+ssize_t HttpSession::receive_some(std::size_t max_bytes) {
+  const auto space = buffer_.prepare(max_bytes);
+  const auto receive = [&] {
+    return ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+  };
+  const auto bytes = retry_on_interrupt(receive);
+  if (bytes > 0) on_received(static_cast<std::size_t>(bytes));
+  return bytes;
 }
 
-bool HttpSession::discard_received(std::size_t max_bytes) {
+policy::ClientPresence HttpSession::confirm_presence() {
+  presence_.confirm(server_.timers_.now());
+  return policy::ClientPresence::connected;
+}
+
+policy::ClientPresence HttpSession::discard_received(std::size_t max_bytes) {
   std::array<char, limits::kReadBufferBytes> unread{};
   for (auto n = max_bytes / unread.size(); n > 0; --n) {
     const auto receive = [&] {
       return ::recv(socket_.native_handle(), unread.data(), unread.size(), MSG_DONTWAIT);
     };
     const auto bytes = retry_on_interrupt(receive);
-    if (bytes <= 0) return bytes < 0;
+    if (bytes == 0) return policy::ClientPresence::disconnected;
+    if (bytes < 0) return policy::ClientPresence::connected;
   }
-  return true;
+  return policy::ClientPresence::unknown;
 }
 
 void HttpSession::update_memory() {
@@ -126,6 +175,7 @@
   // Input behind a request that ends the session is discarded.
   if (state_ == State::lingering || (state_ != State::reading && !body_stream_ && !keep_alive_)) {
     buffer_.clear();
+    if (bytes < limits::kReadBufferBytes) confirm_presence();
     if (request_bytes_ > limits::kMaxStreamedBodyBytes)
       return close(SessionEndReason::request_too_long);
   }
@@ -148,14 +198,9 @@
 
 void HttpSession::read_arrived_input() {
   for (std::size_t total = 0; has_incomplete_request() && total < limits::kMaxInputBytesPerTurn;) {
-    const auto space = buffer_.prepare(limits::kReadBufferBytes);
-    const auto receive = [&] {
-      return ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
-    };
-    const auto bytes = retry_on_interrupt(receive);
+    const auto bytes = receive_some(limits::kReadBufferBytes);
     if (bytes <= 0) return;  // nothing more has arrived; an end or an error shows at the next read
     total += static_cast<std::size_t>(bytes);
-    on_received(static_cast<std::size_t>(bytes));
     parse();
   }
 }
@@ -255,6 +300,7 @@
 void HttpSession::observe_body(bool is_reading) {
   if (last_byte_arrived_) return;
   const auto unread = unread_bytes();
+  if (unread == 0) confirm_presence();
   body_arrival_->observe(server_.timers_.now(), body_observation(unread));
   has_read_all_input_ = is_reading && unread == 0;
   const bool may_be_hidden = !has_read_all_input_ && !body_arrival_->is_end_out_of_reach();
@@ -275,7 +321,7 @@
     body_stream_ = std::make_shared<RequestBodyStream>(
         length ? std::optional<std::uint64_t>(*length) : std::nullopt,
         policy::MemoryAccount(server_.overload_));
-    has_read_all_input_ = false;
+    has_read_all_input_ = start_is_limited_ = false;
     body_arrival_.emplace(
         std::min(request_started_time_, last_received_time_),
         policy::BodyArrival::Limits{limits::kMaxSendBufferBytes, limits::kMaxSocketBufferBytes});
@@ -290,6 +336,7 @@
   is_head_request_ = message.method() == http::verb::head;
   is_http_1_1_ = message.version() >= 11;
   enter(State::waiting);
+  presence_.confirm(last_progress_time_);
   const string_view target(message.target().data(), message.target().size());
   if (target == "/-/ready") {
     const bool is_ready = server_.callbacks_.is_ready() && !server_.draining_;
@@ -446,21 +493,28 @@
   server_.resume_accepting();
 }
 
-bool HttpSession::client_is_connected() {
-  if (is_closed()) return false;
+policy::ClientPresence HttpSession::client_presence() {
+  using policy::ClientPresence;
+  if (is_closed()) return ClientPresence::disconnected;
   pollfd client{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
   if (retry_on_interrupt([&] { return ::poll(&client, 1, 0); }) <= 0)
-    return true;  // neither data nor a close
-  char byte = 0;
-  bool is_open = (client.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
-                 retry_on_interrupt([&] {
-                   return ::recv(client.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-                 }) != 0;
-  if (is_open && is_far_ahead()) is_open = discard_input();
-  if (!is_open)
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this()] { self->close(SessionEndReason::client_closed); });
-  return is_open;
+    return ClientPresence::connected;  // neither data nor a close
+  if ((client.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    close_for_client();
+    return ClientPresence::disconnected;
+  }
+  return body_stream_ ? presence_.with_unread_input(server_.timers_.now()) : read_ahead();
+}
+
+// Not at once: a caller may be in the middle of a step.
+void HttpSession::close_for_client() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->close(SessionEndReason::client_closed); });
+}
+
+bool HttpSession::has_received_close() {
+  pollfd client{socket_.native_handle(), POLLRDHUP, 0};
+  return retry_on_interrupt([&] { return ::poll(&client, 1, 0); }) > 0;
 }
 
 void HttpSession::close_lingering(SessionEndReason reason) {
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -13,6 +13,7 @@
 #include "limits.hpp"
 #include "net.hpp"
 #include "policy/body_arrival.hpp"
+#include "policy/client_presence.hpp"
 #include "policy/overload_manager.hpp"
 #include "policy/receive_progress.hpp"
 #include "request_body_stream.hpp"
@@ -30,9 +31,9 @@
   HttpSession(HttpServer& server, Socket socket);
 
   void start();
-  // False once the client has closed its connection, even when the event loop has not reported
-  // this yet or the close is queued behind bytes that are not read because the body buffer is full.
-  bool client_is_connected() override;
+  // Disconnected once the client has closed its connection, even when the event loop has not
+  // reported this yet; unknown if the close may be behind input that is not read.
+  policy::ClientPresence client_presence() override;
   // The response to the request in flight.
   void send(const Response& response) override;
   void begin_stream(const ResponseHead& head) override;
@@ -78,17 +79,27 @@
   bool may_read();
   // Reads on if reading was stopped, or notices that the client has closed meanwhile.
   void check_paused_reading();
+  // Leaves the rest of the input in the socket: of a long body, or behind the request in flight.
+  void pause_body();
+  void pause_read_ahead();
+  // The client has closed its connection.
+  void close_for_client();
   // In the socket's receive buffer.
   std::size_t unread_bytes() const;
-  // More input lies unread behind the request in flight than the system is sure to hold with the
-  // close behind it.
+  // The system reports that the client has closed its connection or broken it.
+  bool has_received_close();
+  // More input lies unread behind the request in flight than is kept for its client's next ones.
   bool is_far_ahead() const;
-  // Discards the input behind the request in flight, whose response ends the session. Returns false
-  // if the client has closed.
-  bool discard_input();
-  // Reads and discards up to that much of what was received. Returns false if the client has
-  // closed.
-  bool discard_received(std::size_t max_bytes);
+  // Reads the input behind the request in flight to its end, as a close may be behind it.
+  policy::ClientPresence read_ahead();
+  // Discards the input behind the request in flight, whose response ends the session.
+  policy::ClientPresence discard_input();
+  // Reads and discards up to that much of what was received. Connected: nothing is left.
+  policy::ClientPresence discard_received(std::size_t max_bytes);
+  policy::ClientPresence confirm_presence();
+  // Receives into the buffer what has arrived, at most that much; no read may be pending. Returns
+  // the result of recv().
+  ssize_t receive_some(std::size_t max_bytes);
   // Charges what this session holds.
   void update_memory();
   void on_read(const error_code& failed, std::size_t bytes);
@@ -134,6 +145,8 @@
   Time request_started_time_{};
   std::shared_ptr<RequestBodyStream> body_stream_;   // of a forwarded request that is still read
   std::optional<policy::BodyArrival> body_arrival_;  // of the last body_stream_
+  policy::PresenceTracker presence_;                 // while a request is in flight
+  bool start_is_limited_ = false;                    // of body_stream_, see on_start_limited
   bool has_read_all_input_ = false;                  // of body_stream_; a read waits for more
   std::size_t streamed_body_bytes_ = 0;              // handed to body_stream_
   std::size_t request_bytes_ = 0;                    // received since the request began
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -106,7 +106,10 @@
  public:
   TaskSink(JobService& service, std::uint64_t token) : service_(&service), token_(token) {}
   void detach() { service_ = nullptr; }
-  bool client_is_connected() override { return service_ != nullptr; }
+  policy::ClientPresence client_presence() override {
+    return service_ != nullptr ? policy::ClientPresence::connected
+                               : policy::ClientPresence::disconnected;
+  }
 
   void send(const Response& a) override {
     if (a.status == http::status::ok) return report({TaskOutcome::Kind::served, a.body, {}});
--- a/src/node/limits.hpp
+++ b/src/node/limits.hpp
@@ -72,9 +72,10 @@
 inline constexpr std::size_t kMaxHeaderFields = 100;
 // Of the parser's node for one field, and of the allocator.
 inline constexpr std::size_t kHeaderFieldOverheadBytes = 80;
-// What is read of a client's input while its request is in flight; the rest is left in the socket,
+// What is read of a client's input while its request is in flight; the rest is left in the socket
+// and read when an attempt begins, as the client's close may be behind it,
 inline constexpr std::size_t kMaxReadAheadBytes = 4 * 1024;
-// but from this size on it is discarded, as the client's close may be behind it,
+// but from this size on it is discarded,
 inline constexpr std::size_t kMaxUnreadInputBytes = 32 * 1024;
 // this much of it at once.
 inline constexpr std::size_t kMaxDiscardedBytes = 1024UL * 1024;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -401,7 +401,9 @@
 std::optional<RequestId> Node::find_abandoned(const std::string& request_id) {
   for (const auto& [id, open] : open_requests_) {
     if (open.request_message->request_id != request_id) continue;
-    if (!open.response_sink || !open.response_sink->client_is_connected()) return id;
+    if (!open.response_sink ||
+        open.response_sink->client_presence() == policy::ClientPresence::disconnected)
+      return id;
   }
   return std::nullopt;
 }
@@ -499,6 +501,10 @@
   handle_event(RequestReceived{id, deadline.time_left(timers_.now())});
 }
 
+void Node::on_start_limited(std::uint64_t request, Time latest_start) {
+  handle_event(StartLimited{RequestId{request}, latest_start});
+}
+
 void Node::on_client_disconnected(std::uint64_t request) {
   const RequestId id{request};
   const auto it = open_requests_.find(id);
@@ -517,13 +523,20 @@
 }
 
 // Checks the client's socket just before the request is written: the request may have waited for
-// units, a slot or a connection, and the event loop may not have seen the close yet.
+// units, a slot or a connection, and the event loop may not have seen the close yet. A request
+// whose client may have left unseen is refused, as no further attempt may begin for it.
 bool Node::is_still_wanted(RequestId request) {
   const auto it = open_requests_.find(request);
   if (it == open_requests_.end() || !it->second.response_sink ||
       !it->second.state.may_write(timers_.now()))
     return false;
-  if (it->second.response_sink->client_is_connected()) return true;
+  switch (it->second.response_sink->client_presence()) {
+    case policy::ClientPresence::connected: return true;
+    case policy::ClientPresence::unknown:
+      handle_event(StartLimited{request, timers_.now()});
+      return false;
+    case policy::ClientPresence::disconnected: break;
+  }
   on_client_disconnected(static_cast<std::uint64_t>(request));
   return false;
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -83,6 +83,7 @@
   bool is_ready() override;
   std::uint64_t on_request(ClientRequest request, std::shared_ptr<HttpSession> session) override;
   void on_request_received(std::uint64_t request, Time not_written_until) override;
+  void on_start_limited(std::uint64_t request, Time latest_start) override;
   void on_client_disconnected(std::uint64_t request) override;
   bool can_lend_descriptor() const override;
   bool lend_descriptor() override;
--- a/src/node/request_body_stream.hpp
+++ b/src/node/request_body_stream.hpp
@@ -1,9 +1,11 @@
 // A request body that is streamed from a client to a price server. The client's session appends
-// chunks, the server connection drains them; the buffer is bounded to a few chunks. Both run on the
-// thread of the io_context.
+// chunks, the server connection drains them. Once a part was drained the buffer is bounded to a few
+// chunks; before, while the request waits for its attempt, it holds what memory permits, so that
+// the session reads on and sees a close behind the body. Both run on the thread of the io_context.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -26,9 +28,8 @@
       : length_(length), memory_(std::move(memory)) {}
 
   // Used by the session. The capacity callback is called when more may be appended.
-  void append(std::string_view chunk) {
-    buffered_.append(chunk);
-    memory_.set(policy::MemoryKind::bodies, buffered_.capacity());
+  void append(std::string chunk) {
+    if (!chunk.empty()) buffer(std::move(chunk));
     notify(on_data_);
   }
   // The last byte has arrived, though it may not have been appended yet.
@@ -36,8 +37,11 @@
   void finish() { complete_ = true, notify(on_data_); }
   void abort() { aborted_ = true, notify(on_data_); }
   bool is_full() const {
-    return buffered_.size() >= (memory_.manager().is_under_pressure() ? limits::kReadBufferBytes
-                                                                      : limits::kStreamChunkBytes);
+    const auto& manager = memory_.manager();
+    if (buffered_bytes_ <
+        (manager.is_under_pressure() ? limits::kReadBufferBytes : limits::kStreamChunkBytes))
+      return false;
+    return consumed_ || !manager.may_hold_body();
   }
   // While the stream is full, the session reads nothing from its client.
   void pause_reading(Time now) {
@@ -58,27 +62,46 @@
   // and an abort.
   std::string drain_chunk() {
     consumed_ = true;
-    auto chunk = std::exchange(buffered_, {});
-    memory_.set(policy::MemoryKind::bodies, 0);
-    if (!chunk.empty()) notify(on_capacity_);
+    if (buffered_.empty()) return {};
+    auto chunk = std::move(buffered_.front());
+    buffered_.pop_front();
+    buffered_bytes_ -= chunk.size();
+    memory_.set(policy::MemoryKind::bodies, memory_.total() - chunk.capacity());
+    if (!is_full()) notify(on_capacity_);
     return chunk;
   }
+  // Everything that was appended was drained.
+  bool empty() const { return buffered_.empty(); }
   void set_data_callback(std::function<void()> callback) { on_data_ = std::move(callback); }
   std::optional<std::uint64_t> length() const { return length_; }
   bool complete() const { return complete_; }
   bool aborted() const { return aborted_; }
   std::optional<Time> last_byte_hidden_since() const { return last_byte_hidden_since_; }
-  // A part was drained, so the body can't be sent a second time.
+  // An attempt has begun to drain it, so the body can't be sent a second time.
   bool consumed() const { return consumed_; }
 
  private:
+  // Small parts are put together, so that each chunk is worth a write.
+  void buffer(std::string part) {
+    buffered_bytes_ += part.size();
+    const bool fits = !buffered_.empty() &&
+                      buffered_.back().size() + part.size() <= limits::kStreamChunkBytes;
+    const auto held_before = fits ? buffered_.back().capacity() : 0;
+    if (fits)
+      buffered_.back().append(part);
+    else
+      buffered_.push_back(std::move(part));
+    memory_.set(policy::MemoryKind::bodies,
+                memory_.total() + buffered_.back().capacity() - held_before);
+  }
   // Copied, because the callback may replace itself.
   static void notify(const std::function<void()>& callback) {
     if (const auto copy = callback) copy();
   }
 
   std::optional<std::uint64_t> length_;  // none: unknown
-  std::string buffered_;
+  std::deque<std::string> buffered_;
+  std::size_t buffered_bytes_ = 0;
   policy::MemoryAccount memory_;
   std::optional<Time> reading_paused_time_, last_byte_hidden_since_;
   std::function<void()> on_capacity_, on_data_;
--- a/src/node/response_sink.hpp
+++ b/src/node/response_sink.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "petrelrail/gateway.hpp"
+#include "policy/client_presence.hpp"
 
 namespace petrelrail {
 
@@ -28,8 +29,8 @@
 class ResponseSink {
  public:
   virtual ~ResponseSink() = default;
-  // Whether the response is still wanted; checked just before an attempt is written.
-  virtual bool client_is_connected() = 0;
+  // Whether somebody still waits for the response; checked just before an attempt is written.
+  virtual policy::ClientPresence client_presence() = 0;
   // Exactly one response per request: either send(), or begin_stream(), any number of chunks, and
   // end_stream() or abort(). The next chunk may follow once `on_written` was called. After abort()
   // the receiver can tell that the response is truncated.
--- a/src/node/upstream_connection.cpp
+++ b/src/node/upstream_connection.cpp
@@ -225,8 +225,8 @@
   auto& upload = *exchange_->request_message->body_stream;
   if (upload.aborted())
     return close(AttemptOutcome::cancelled, AttemptEndReason::request_body_broken);
-  const bool last = upload.complete();
   body_chunk_ = upload.drain_chunk();
+  const bool last = upload.complete() && upload.empty();
   if (!upload.length() && !body_chunk_.empty()) {
     const auto data = std::exchange(body_chunk_, {});
     append_chunk(body_chunk_, data);
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -158,6 +158,21 @@
     request->on_received(context_.now, event.time_left);
 }
 
+// A request that waits for capacity begins now, if need be beyond the concurrency limit; one that
+// waits for units is rejected at that time.
+void Gateway::AdmissionController::on(const StartLimited& event) {
+  auto* request = find_or_null(requests_, event.request);
+  if (!request) return;
+  request->latest_start = std::min(request->latest_start, event.latest_start);
+  if (request->stage == RequestStage::waiting_for_lease)
+    return timers_.set(request->id(), request->timer_deadline,
+                       std::max(context_.now, request->queue_deadline()));
+  if (request->stage != RequestStage::queued) return;
+  std::erase(queue_, request->id());
+  request->stage = RequestStage::waiting_for_lease;
+  forward_first(*request);
+}
+
 void Gateway::AdmissionController::on(const ClientDisconnected& event) {
   if (auto* request = find_or_null(requests_, event.request)) end(*request);
   erase_if_done(event.request);
@@ -305,7 +320,8 @@
   // work.
   timers_.set(request.id(), request.timer_deadline, Time::max());
   const auto timeout = std::max(request.deadline.time_left(context_.now), Duration(1));
-  context_.actions.emplace_back(Send{request.id(), endpoint, timeout, request.retry_deadline()});
+  const Time start_deadline = std::min(request.retry_deadline(), request.latest_start);
+  context_.actions.emplace_back(Send{request.id(), endpoint, timeout, start_deadline});
 }
 
 // Called when no attempt is in flight and the client still waits: retries where the class allows
--- a/src/policy/admission_controller.hpp
+++ b/src/policy/admission_controller.hpp
@@ -42,6 +42,7 @@
   void on(const OperatorEjection& event) { endpoints_.apply_operator_ejection(event); }
   void on(const RequestArrived& event);
   void on(const RequestReceived& event);
+  void on(const StartLimited& event);
   void on(const AttemptEnded& event);
   void on(const ClientDisconnected& event);
   void on(const TimerDue& event);
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -9,6 +9,9 @@
 
 // Initial estimate of requests in flight per server, over the whole fleet.
 constexpr double kInitialInFlight = 5;
+// Multiple of the limit, and attempts beyond that, up to which a request begins that can't wait.
+constexpr double kMaxOvercommit = 2;
+constexpr double kOvercommitAllowance = 1;
 // Lower bound of the concurrency limit; a lower limit would never show that servers recovered.
 constexpr double kMinLimit = 0.1;
 // An answer slower than this fraction of its latency objective shows that the servers are
@@ -124,6 +127,8 @@
 
 bool LoadBalancer::has_capacity(const Request& request) {
   initialise_limit();
+  if (!request.may_wait())
+    return endpoints_.in_flight() < kMaxOvercommit * concurrency_limit_ + kOvercommitAllowance;
   return endpoints_.in_flight() + request.admission_jitter < concurrency_limit_;
 }
 
--- a/src/policy/overload_manager.cpp
+++ b/src/policy/overload_manager.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kSmallRequestBytes = 24 * 1024;
 // A client that lags by no more than this keeps sending.
 constexpr Duration kMaxLagOfSender = std::chrono::milliseconds(100);
+// Of the total up to which bodies are read that no price server takes yet.
+constexpr double kHeldBodiesShare = 0.4;
 constexpr double kCustomersShare = 0.25;
 constexpr double kHistoryShare = 0.05;
 // A parsed list takes several times its text.
@@ -33,6 +35,7 @@
   budget_ = memory_limit == 0
                 ? SIZE_MAX
                 : static_cast<std::size_t>(kBudgetShare * static_cast<double>(memory_limit));
+  max_total_with_held_bodies_ = share_of_budget(kHeldBodiesShare);
   update_stage();
 }
 
--- a/src/policy/overload_manager.hpp
+++ b/src/policy/overload_manager.hpp
@@ -10,6 +10,9 @@
 //   shed           answers incomplete requests, and large complete ones, with 503
 //   close          closes incomplete requests, and answers every new one with 503
 //
+// The body of a request that waits for its attempt is read to its end as long as the total stays
+// well below the first stage, so that a close behind it shows (client_presence.hpp).
+//
 // The incomplete requests that are given up first are those that occupy most memory for longest
 // while their clients lag behind the lowest rate at which they may send. Incomplete ones go before
 // a complete one is refused. An accepted request is never dropped: what it holds ends with its
@@ -93,6 +96,9 @@
 
   // Whether a complete request of that size may be accepted.
   bool may_accept(std::size_t bytes) const;
+  // Whether more of a body may be read although no price server takes it yet. What such bodies hold
+  // leaves most of the budget to requests that are still being read.
+  bool may_hold_body() const { return total_ < max_total_with_held_bodies_; }
   // The sessions whose incomplete requests are given up now, until the total leaves the present
   // stage: those with the largest product of bytes and lag, of equal ones the largest. Before the
   // last stage, small ones that keep arriving are spared.
@@ -111,6 +117,7 @@
   std::size_t budget_ = SIZE_MAX;
   std::size_t total_ = 0, peak_ = 0;
   std::size_t next_stage_ = SIZE_MAX, stage_end_ = 0;  // totals at which the stage changes
+  std::size_t max_total_with_held_bodies_ = SIZE_MAX;
   OverloadStage stage_ = OverloadStage::normal;
   std::array<std::size_t, kMemoryKindNames.size()> held_{};
   std::array<std::uint64_t, kSheddingReasonNames.size()> sheddings_{};
--- a/src/policy/request.cpp
+++ b/src/policy/request.cpp
@@ -64,7 +64,8 @@
 Time Request::queue_deadline() const {
   const auto objective = std::max(objective_end() - arrival_time, Duration{});
   const auto time_left = deadline.time_left(arrival_time);
-  return arrival_time + scaled(std::min(objective, time_left), kQueueShare);
+  const Time useful_until = arrival_time + scaled(std::min(objective, time_left), kQueueShare);
+  return std::min(useful_until, latest_start);
 }
 
 Time Request::retry_deadline() const {
@@ -75,7 +76,8 @@
 }
 
 bool Request::may_retry(Time now) const {
-  const bool in_time = now < std::min(deadline.time(), retry_deadline()) && !misses_objective(now);
+  const bool in_time = now < std::min({deadline.time(), retry_deadline(), latest_start}) &&
+                       !misses_objective(now);
   return in_time && !body_consumed && attempts.size() < classes->max_attempts;
 }
 
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -29,6 +29,7 @@
   Time first_request_time{};  // estimated arrival of the client's first attempt
   Time arrival_time{};        // of its last byte; while that is missing, of its header
   RequestDeadline deadline;
+  Time latest_start = Time::max();    // of any attempt, see StartLimited
   Time timer_deadline = Time::max();  // see RequestTimers
   RequestStage stage = RequestStage::waiting_for_lease;
   // From 0 to 2: capacity that must be free below the concurrency limit; a random part plus one
@@ -57,6 +58,8 @@
   // Returns whether an answer at `now` would be worthless. Saves units for requests whose answer
   // can still be in time.
   bool misses_objective(Time now) const;
+  // Whether it can wait for capacity at the price servers.
+  bool may_wait() const { return latest_start == Time::max(); }
   // Latest useful time of a first attempt: the answer must still meet the latency objective.
   Time queue_deadline() const;
   // Time by which a further attempt must start to have no second effect at servers that know the
--- a/tests/overload_fixture.hpp
+++ b/tests/overload_fixture.hpp
@@ -119,7 +119,7 @@
   // An answer within its request's time and the protocol's slack.
   static constexpr Duration kMaxAnswerTime = 2500ms;
 
-  void start(ProcessLimits process_limits) {
+  void start(ProcessLimits process_limits, int listed_servers = kListedServers) {
     limits = process_limits;
     config["limits"] = {
         {"cores", 1.0}, {"memory_mb", limits.memory_mb}, {"sockets", limits.descriptors}};
@@ -133,7 +133,7 @@
     plan["name"] = "free", plan["units-per-s"] = 0;
     config["settings"]["packages"].push_back(plan);
     auto& members = config["known"]["members"];
-    for (int i = 1; i < kListedServers; ++i) {
+    for (int i = 1; i < listed_servers; ++i) {
       members.push_back(members[0]);
       members.back()["id"] = "s-" + std::to_string(i);
     }
@@ -339,6 +339,12 @@
     const auto text = figure(metric);
     return text == "none" ? 0 : std::stoull(text);
   }
+  void expect_within_memory() {
+    EXPECT_FALSE(is_over_memory());
+    const auto budget = number("node_memory_budget_bytes");
+    EXPECT_GT(budget, 0U);
+    EXPECT_LE(number("node_memory_peak_bytes"), budget);
+  }
   void expect_within_limits() {
     const auto peak_kb = peak_memory_kb();
     RecordProperty("peak_kb", std::to_string(peak_kb));
@@ -348,10 +354,7 @@
               << " unanswered, slowest "
               << std::chrono::duration_cast<std::chrono::milliseconds>(slowest_answer).count()
               << " ms; hostile connections " << hostile_number << "\n";
-    EXPECT_FALSE(is_over_memory());
-    const auto budget = number("node_memory_budget_bytes");
-    EXPECT_GT(budget, 0U);
-    EXPECT_LE(number("node_memory_peak_bytes"), budget);
+    expect_within_memory();
     EXPECT_EQ(unanswered, 0U);
     EXPECT_LT(slowest_answer, kMaxAnswerTime);
     EXPECT_GE(served_requests, 9 * refused_requests);
--- a/tests/overload_manager_test.cpp
+++ b/tests/overload_manager_test.cpp
@@ -55,6 +55,19 @@
   hold(0.9);
   EXPECT_FALSE(manager->may_accept(kSmall));
 }
+// Guards against bodies that wait for their attempts taking the memory of requests that are read.
+TEST_F(OverloadManagerTest, ABodyIsHeldUpToAShareOfTheBudgetBelowTheFirstStage) {
+  const std::vector<std::pair<double, bool>> steps{{0.0, true},   {0.39, true},  {0.4, false},
+                                                   {0.59, false}, {0.95, false}, {0.39, true}};
+  for (const auto& [share, may_hold] : steps) {
+    hold(share);
+    EXPECT_EQ(manager->may_hold_body(), may_hold) << share;
+    EXPECT_TRUE(!may_hold || manager->stage() == OverloadStage::normal) << share;
+  }
+  manager->set_memory_limit(0);
+  account.set(MemoryKind::bodies, 1UL << 40U);
+  EXPECT_TRUE(manager->may_hold_body());
+}
 // Guards against requests that keep arriving, or small ones that stopped, being judged by their
 // size (review, case 6).
 TEST_F(OverloadManagerTest, VictimsHoldMostForLongestWithoutMovingUntilTheStageIsLeft) {
