A long request behind one that has begun is read after it, not discarded

Cause: discarded what lies far behind a request as soon as reading pauses, also where its attempt had begun.

Change: the early discarding is left to requests that still wait for their attempts.

--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -73,7 +73,8 @@
     server_.overload_->count(policy::SheddingReason::input_paused);
   update_memory();
   // Begun now, so that the input is read to its end by the time of the attempt.
-  if (request_number_ != 0 && state_ == State::waiting && is_far_ahead()) discard_input();
+  const bool awaits_attempt = request_number_ != 0 && state_ == State::waiting && !presence_asked_;
+  if (awaits_attempt && is_far_ahead()) discard_input();
 }
 
 void HttpSession::pause_body() {
@@ -330,7 +331,7 @@
     });
   }
   const auto stream = body_stream_;
-  request_started_ = awaits_first_request_ = last_byte_arrived_ = false;
+  request_started_ = awaits_first_request_ = last_byte_arrived_ = presence_asked_ = false;
   keep_alive_ = message.keep_alive();
   request_id_.clear();
   is_head_request_ = message.method() == http::verb::head;
@@ -496,6 +497,7 @@
 policy::ClientPresence HttpSession::client_presence() {
   using policy::ClientPresence;
   if (is_closed()) return ClientPresence::disconnected;
+  presence_asked_ = true;
   pollfd client{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
   if (retry_on_interrupt([&] { return ::poll(&client, 1, 0); }) <= 0)
     return ClientPresence::connected;  // neither data nor a close
--- a/tests/client_close_process_test.cpp
+++ b/tests/client_close_process_test.cpp
@@ -26,14 +26,14 @@
     OverloadTest::start({memory_mb, 1024}, 1);
     server.on([this](Wire& w) { serve_order(w); });
   }
-  // Answers after kWorkTime. Notes when the first byte of an order arrived.
+  // Answers after work_time. Notes when the first byte of an order arrived.
   void serve_order(Wire& w) {
     const bool is_order = w.in.starts_with("POST");
     if (is_order && !begun) begun = std::chrono::steady_clock::now();
     const bool is_chunked = is_order && w.in.find("Transfer-Encoding: chunked\r\n") < 500;
     if (is_chunked ? !w.in.ends_with("\r\n0\r\n\r\n") : w.message().empty()) return;
     if (is_chunked) w.in.clear();
-    const auto timer = std::make_shared<asio::steady_timer>(loop.io, kWorkTime);
+    const auto timer = std::make_shared<asio::steady_timer>(loop.io, work_time);
     timer->async_wait([timer, weak = w.weak_from_this()](const error_code&) {
       if (const auto wire = weak.lock()) wire->send(http_answer("200 OK", "served"));
     });
@@ -89,6 +89,7 @@
   bool has_begun_late() const { return begun && *begun - closed >= kMaxLateStart; }
 
   static inline std::uint64_t next_customer = 1;
+  Duration work_time = kWorkTime;  // of the price server
   std::vector<std::shared_ptr<Wire>> lookups;
   std::optional<SteadyTime> begun;  // the first order of the round, at the price server
   SteadyTime closed{};              // when its client left
@@ -172,6 +173,18 @@
     finish_round();
   }
 }
+// Guards against a long request being discarded that its client sends while the one before it is at
+// the price server.
+TEST_F(WaitingRequests, BehindOneThatHasBegunAreServed) {
+  start(32);
+  work_time = 100ms;
+  const auto w = loop.connect(listen);
+  w->send(order(Framing::length, 0));
+  ASSERT_TRUE(loop.until([&] { return begun.has_value(); }));
+  write(w, order(Framing::length, kMedium));
+  EXPECT_EQ(answered(w), 200);
+  EXPECT_EQ(answered(w), 200);
+}
 // Guards against an attempt for a client that left while the counter was silent.
 TEST_F(WaitingRequests, OfClientsThatLeftAreNotBegunOnceTheCounterAnswers) {
   config["settings"]["extra"]["count-limit-ns"] = 600'000'000;
