Only long bodies hold the state of their arrival

BodyArrival stood in each session, though only a long body's stream uses it. It is a member of RequestBodyStream now; no behaviour changes.

--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -171,7 +171,7 @@
     return close(failed == asio::error::eof ? SessionEndReason::client_closed
                                             : SessionEndReason::read_failed);
   if (body_stream_ && std::exchange(has_read_all_input_, false))
-    body_arrival_->observe(server_.timers_.now(), body_observation(0));
+    body_stream_->arrival().observe(server_.timers_.now(), body_observation(0));
   on_received(bytes);
   // Input behind a request that ends the session is discarded.
   if (state_ == State::lingering || (state_ != State::reading && !body_stream_ && !keep_alive_)) {
@@ -285,9 +285,10 @@
 void HttpSession::check_last_byte() {
   if (!body_stream_ || last_byte_arrived_ || request_number_ == 0 || !body_has_arrived()) return;
   last_byte_arrived_ = true;
-  if (parser_->is_done()) body_arrival_->on_end_read(request_bytes_ - buffer_.size());
+  if (parser_->is_done()) body_stream_->arrival().on_end_read(request_bytes_ - buffer_.size());
   body_stream_->set_last_byte_hidden_since(std::nullopt);
-  server_.callbacks_.on_request_received(request_number_, body_arrival_->not_written_until());
+  server_.callbacks_.on_request_received(request_number_,
+                                         body_stream_->arrival().not_written_until());
   if (body_stream_) body_stream_->on_last_byte();
 }
 
@@ -302,11 +303,11 @@
   if (last_byte_arrived_) return;
   const auto unread = unread_bytes();
   if (unread == 0) confirm_presence();
-  body_arrival_->observe(server_.timers_.now(), body_observation(unread));
+  body_stream_->arrival().observe(server_.timers_.now(), body_observation(unread));
   has_read_all_input_ = is_reading && unread == 0;
-  const bool may_be_hidden = !has_read_all_input_ && !body_arrival_->is_end_out_of_reach();
+  const bool may_be_hidden = !has_read_all_input_ && !body_stream_->arrival().is_end_out_of_reach();
   body_stream_->set_last_byte_hidden_since(
-      may_be_hidden ? std::optional(body_arrival_->not_written_until()) : std::nullopt);
+      may_be_hidden ? std::optional(body_stream_->arrival().not_written_until()) : std::nullopt);
 }
 
 void HttpSession::on_request_parsed() {
@@ -321,11 +322,9 @@
     const auto length = parser_->content_length();
     body_stream_ = std::make_shared<RequestBodyStream>(
         length ? std::optional<std::uint64_t>(*length) : std::nullopt,
-        policy::MemoryAccount(server_.overload_));
+        policy::MemoryAccount(server_.overload_),
+        std::min(request_started_time_, last_received_time_));
     has_read_all_input_ = start_is_limited_ = false;
-    body_arrival_.emplace(
-        std::min(request_started_time_, last_received_time_),
-        policy::BodyArrival::Limits{limits::kMaxSendBufferBytes, limits::kMaxSocketBufferBytes});
     body_stream_->set_capacity_callback([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->read();
     });
--- a/src/node/http_session.hpp
+++ b/src/node/http_session.hpp
@@ -143,14 +143,13 @@
   State state_ = State::reading;
   Time opened_time_{}, last_received_time_{};
   Time request_started_time_{};
-  std::shared_ptr<RequestBodyStream> body_stream_;   // of a forwarded request that is still read
-  std::optional<policy::BodyArrival> body_arrival_;  // of the last body_stream_
-  policy::PresenceTracker presence_;                 // while a request is in flight
-  bool presence_asked_ = false;                      // of it: its attempt may have begun
-  bool start_is_limited_ = false;                    // of body_stream_, see on_start_limited
-  bool has_read_all_input_ = false;                  // of body_stream_; a read waits for more
-  std::size_t streamed_body_bytes_ = 0;              // handed to body_stream_
-  std::size_t request_bytes_ = 0;                    // received since the request began
+  std::shared_ptr<RequestBodyStream> body_stream_;  // of a forwarded request that is still read
+  policy::PresenceTracker presence_;                // while a request is in flight
+  bool presence_asked_ = false;                     // of it: its attempt may have begun
+  bool start_is_limited_ = false;                   // of body_stream_, see on_start_limited
+  bool has_read_all_input_ = false;                 // of body_stream_; a read waits for more
+  std::size_t streamed_body_bytes_ = 0;             // handed to body_stream_
+  std::size_t request_bytes_ = 0;                   // received since the request began
   policy::ReceiveProgress progress_{limits::kMinBodyBytesPerSecond};  // of the request being read
   // When the state was entered, a request's first byte was read, or bytes were last written.
   Time last_progress_time_{};
--- a/src/node/request_body_stream.hpp
+++ b/src/node/request_body_stream.hpp
@@ -15,17 +15,22 @@
 
 #include "limits.hpp"
 #include "petrelrail/types.hpp"
+#include "policy/body_arrival.hpp"
 #include "policy/overload_manager.hpp"
 
 namespace petrelrail {
 
 class RequestBodyStream {
  public:
-  // `memory` is charged for what is buffered; by default nothing limits it.
+  // `memory` is charged for what is buffered; by default nothing limits it. `started`: when the
+  // first part of the request was read.
   explicit RequestBodyStream(std::optional<std::uint64_t> length,
                              policy::MemoryAccount memory =
-                                 policy::MemoryAccount(std::make_shared<policy::OverloadManager>()))
-      : length_(length), memory_(std::move(memory)) {}
+                                 policy::MemoryAccount(std::make_shared<policy::OverloadManager>()),
+                             Time started = {})
+      : length_(length),
+        memory_(std::move(memory)),
+        arrival_(started, {limits::kMaxSendBufferBytes, limits::kMaxSocketBufferBytes}) {}
 
   // Used by the session. The capacity callback is called when more may be appended.
   void append(std::string chunk) {
@@ -43,6 +48,7 @@
       return false;
     return consumed_ || !manager.may_hold_body();
   }
+  policy::BodyArrival& arrival() { return arrival_; }
   // While the stream is full, the session reads nothing from its client.
   void pause_reading(Time now) {
     if (reading_paused_time_) return;
@@ -103,6 +109,7 @@
   std::deque<std::string> buffered_;
   std::size_t buffered_bytes_ = 0;
   policy::MemoryAccount memory_;
+  policy::BodyArrival arrival_;
   std::optional<Time> reading_paused_time_, last_byte_hidden_since_;
   std::function<void()> on_capacity_, on_data_;
   bool complete_ = false, aborted_ = false, consumed_ = false;
