--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -17,6 +17,13 @@
     config["settings"]["packages"][0]["units-per-s"] = 0;  // 0: no request waits for quota
     run();
     ASSERT_TRUE(up());
+    ASSERT_TRUE(loop.until([&] { return has_control_address(); }));
+  }
+  // The program retries while it finds no socket for the control address.
+  bool has_control_address() {
+    error_code failed;
+    Socket(loop.io.get_executor()).connect(control, failed);
+    return !failed;
   }
   // Returns the status of an ended process, or nullopt while it runs.
   std::optional<int> exit_status_now() const {
